--- a/cmd/mangoslip/main.go
+++ b/cmd/mangoslip/main.go
@@ -4,6 +4,7 @@
 // # Usage
 //
 //	mangoslip entry      run an entry instance
+//	mangoslip serve      run an entry on the platform
 //	mangoslip demo       run the stand-ins, six entries and workers in one process
 //	mangoslip help       list all subcommands
 //
@@ -26,7 +27,7 @@
 	return map[string][]subcommands.Command{
 		"": {
 			subcommands.HelpCommand(), subcommands.FlagsCommand(),
-			&entryCmd{}, &demoCmd{}, &checkCmd{}, &versionCmd{},
+			&entryCmd{}, &serveCmd{}, &demoCmd{}, &checkCmd{}, &versionCmd{},
 		},
 		"operators": {
 			&diffCmd{}, &applyCmd{}, &statusCmd{},
--- /dev/null
+++ b/cmd/mangoslip/serve.go
@@ -0,0 +1,176 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/rotisserie/eris"
+
+	"github.com/mangoslip/mangoslip/internal/daemon"
+	"github.com/mangoslip/mangoslip/internal/flags"
+	"github.com/mangoslip/mangoslip/internal/leader"
+	"github.com/mangoslip/mangoslip/internal/stats"
+	"github.com/mangoslip/mangoslip/internal/trail"
+	"github.com/mangoslip/mangoslip/pkg/sched"
+	"github.com/mangoslip/mangoslip/pkg/sched/flow"
+	"github.com/mangoslip/mangoslip/platform/fleet"
+	"github.com/mangoslip/mangoslip/platform/front"
+	"github.com/mangoslip/mangoslip/platform/meta"
+	"github.com/mangoslip/mangoslip/platform/order"
+	"github.com/mangoslip/mangoslip/platform/setup"
+)
+
+// serveCmd runs an entry on the platform.
+type serveCmd struct {
+	settingsFile string
+	metricsPort  uint
+	lease        time.Duration
+	logLevel     string
+	level        slog.LevelVar
+	setup        setup.Settings
+}
+
+func (*serveCmd) Name() string     { return "serve" }
+func (*serveCmd) Synopsis() string { return "run an entry on the platform" }
+func (*serveCmd) Usage() string {
+	return `serve [flags]
+  Run an entry on the platform whose settings file the platform names: take
+  callers' jobs, take part in the election of the leader, and run jobs while
+  leading. SIGTERM stops it gracefully, SIGHUP reads the settings file again.
+`
+}
+
+func (c *serveCmd) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settingsFile, "settings", os.Getenv(setup.Variable), "`file` with the platform's settings")
+	f.UintVar(&c.metricsPort, "metrics-port", 9600, "`port` for metrics")
+	f.DurationVar(&c.lease, "task-lease", 4*time.Second, "how far ahead the leases of runs are set")
+	f.StringVar(&c.logLevel, "log-level", "info", "debug, info, warn or error")
+}
+
+func (c *serveCmd) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return flags.Execute(ctx, f, c.validate, c.run)
+}
+
+func (c *serveCmd) validate(args []string) error {
+	if len(args) > 0 {
+		return eris.Errorf("unexpected argument %q", args[0])
+	}
+	if c.settingsFile == "" {
+		return eris.Errorf("no settings file; set -settings or %s", setup.Variable)
+	}
+	if c.metricsPort == 0 || c.metricsPort > 65535 {
+		return eris.Errorf("-metrics-port %d is not a port", c.metricsPort)
+	}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(c.logLevel)); err != nil {
+		return eris.Wrap(err, "-log-level")
+	}
+	c.level.Set(level)
+	s, err := setup.Load(c.settingsFile)
+	if err != nil {
+		return err
+	}
+	if c.lease <= 0 || c.lease > s.LeaseMax {
+		return eris.Errorf("-task-lease %s is not between 0 and the platform's bound of %s", c.lease, s.LeaseMax)
+	}
+	c.setup = s
+	return nil
+}
+
+// heapShare is the part of the memory limit at which the garbage collector
+// works harder; the rest is for stacks, buffers and what is not collected yet.
+const heapShare = 0.6
+
+func (c *serveCmd) run(ctx context.Context) error {
+	out := trail.New(os.Stdout)
+	defer out.Close()
+	s := c.setup
+	log := slog.New(out.Handler(&c.level)).With("entry", s.Name)
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(s.Memory)))
+	}
+	st := stats.New()
+	store := meta.New(s.Store, meta.WithCounter(func(call string) { st.Count("Store."+call, 1) }))
+	defer store.Close()
+	orders := order.New()
+	defer orders.Close()
+	var config atomic.Pointer[fleet.Config]
+	e := daemon.New(daemon.Settings{
+		Name: s.Name, Front: s.Front, Ready: s.Ready,
+		Peer:    netip.AddrPortFrom(s.Address, s.PortLow),
+		Metrics: netip.AddrPortFrom(s.Address, uint16(c.metricsPort)),
+		Grace:   s.Grace, ReadyPath: front.ReadyPath,
+	}, daemon.Platform{
+		Store: store, Orders: orders, ConfigKey: fleet.ConfigKey,
+		Apply: func(value []byte) (*sched.Fleet, error) {
+			cfg, err := fleet.ParseConfig(value)
+			if err != nil {
+				return nil, err
+			}
+			config.Store(cfg)
+			return cfg.Fleet, nil
+		},
+		NewFront: func(jobs sched.JobService) http.Handler {
+			return front.New(jobs, config.Load, front.WithNote(noteRequests(log, st)))
+		},
+		Leader: leader.Settings{
+			MembersPrefix: fleet.MembersPrefix, Members: fleet.Members,
+			Machine: []flow.Option{
+				flow.WithLease(c.lease), flow.WithStopTime(s.StopTime), flow.WithHarm(s.Harm, s.PaceTime),
+				flow.WithFar(s.FarFactor), flow.WithRestore(s.Restore),
+			},
+		},
+	}, daemon.WithLogger(log), daemon.WithStats(st))
+	log.Info("starting", "dataCentre", s.DataCentre, "front", s.Front, "peer", s.Address, "store", s.Store,
+		"processors", s.Processors, "memory", s.Memory, "taskLease", c.lease, "settings", c.settingsFile)
+	go c.reload(ctx, log)
+	err := e.Run(ctx)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// noteRequests logs and counts the requests of callers.
+func noteRequests(log *slog.Logger, st *stats.Stats) func(front.Done) {
+	return func(d front.Done) {
+		st.Observe("RequestSeconds", d.Took)
+		if d.Reason != "" {
+			st.Refused(d.Reason)
+		}
+		log.Info("request answered", "id", d.Job, "method", d.Method, "queue", d.Queue, "status", d.Status,
+			"reason", d.Reason, "took", d.Took, "config", d.Config, "error", d.Err)
+	}
+}
+
+// reload reads the settings file again on SIGHUP. Addresses and bounds of a
+// process do not change; what differs is logged.
+func (c *serveCmd) reload(ctx context.Context, log *slog.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		s, err := setup.Load(c.settingsFile)
+		if err != nil {
+			log.Error("settings not reloaded; the old ones stay in force", "file", c.settingsFile, "error", err)
+			continue
+		}
+		log.Info("settings reloaded", "file", c.settingsFile, "changed", s != c.setup)
+	}
+}
--- /dev/null
+++ b/internal/jobs/stored.go
@@ -0,0 +1,151 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"github.com/mangoslip/mangoslip/internal/layout"
+	"github.com/mangoslip/mangoslip/internal/relay"
+	"github.com/mangoslip/mangoslip/pkg/sched"
+	"github.com/mangoslip/mangoslip/pkg/sched/flow"
+)
+
+// stored reads the state of a job from the store.
+func (s *Service) stored(ctx context.Context, id sched.JobID) (sched.JobState, error) {
+	if s.health.Lost() {
+		return 0, unreachable(nil)
+	}
+	progress, err := s.get(ctx, layout.Root+flow.KeyProgress+string(id))
+	switch {
+	case err == nil:
+		state, err := flow.ProgressState(progress.Value)
+		if err != nil {
+			s.log.Error("stored progress is damaged", "id", id, "version", progress.Version, "error", err)
+			return sched.JobRunning, nil
+		}
+		if state.Final() {
+			return state, nil
+		}
+		return s.unlessCancelled(ctx, id, state)
+	case !errors.Is(err, sched.ErrNotFound):
+		return 0, unreachable(err)
+	}
+	_, err = s.get(ctx, layout.JobKey(id))
+	switch {
+	case err == nil:
+		return s.unlessCancelled(ctx, id, sched.JobQueued)
+	case errors.Is(err, sched.ErrNotFound):
+		return 0, &sched.Refusal{Reason: sched.ReasonUnknownJob, Outcome: sched.NotRun}
+	default:
+		return 0, unreachable(err)
+	}
+}
+
+// unlessCancelled returns the state of a job that has not ended by its
+// progress.
+func (s *Service) unlessCancelled(ctx context.Context, id sched.JobID, state sched.JobState) (sched.JobState, error) {
+	_, err := s.get(ctx, layout.CancelKey(id))
+	switch {
+	case err == nil:
+		return sched.JobCancelled, nil
+	case errors.Is(err, sched.ErrNotFound):
+		return state, nil
+	default:
+		return 0, unreachable(err)
+	}
+}
+
+func (s *Service) get(ctx context.Context, key string) (sched.Item, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	item, err := s.store.Get(ctx, key)
+	s.health.Note(err)
+	return item, err
+}
+
+func unreachable(err error) error {
+	return &sched.Refusal{Reason: sched.ReasonStoreUnavailable, Outcome: sched.NotRun, RetryAfter: comeBack, Err: err}
+}
+
+// Answer answers a question of another entry. Nothing is passed on further.
+func (s *Service) Answer(ctx context.Context, q relay.Question) relay.Answer {
+	if q.Leader.Term > 0 {
+		s.leader.Heard(q.Leader)
+	}
+	a := relay.Answer{Leader: s.leader.Current()}
+	switch q.Verb {
+	case relay.VerbState:
+		state, known, leads := s.leader.State(q.Job)
+		a.State = state
+		switch {
+		case !leads:
+			a.Reason, a.Outcome = sched.ReasonNotOwner, sched.NotRun
+		case !known:
+			a.Reason, a.Outcome = sched.ReasonUnknownJob, sched.NotRun
+		}
+	case relay.VerbWaiting:
+		n, leads := s.leader.Waiting(q.Queue)
+		a.Count = n
+		if !leads {
+			a.Reason, a.Outcome, a.RetryAfter = sched.ReasonNotOwner, sched.NotRun, comeBack
+		}
+	case relay.VerbSubmit, relay.VerbCancel:
+		s.recordFor(ctx, q, &a)
+	}
+	return a
+}
+
+// recordFor records a job or a cancellation for another entry.
+func (s *Service) recordFor(ctx context.Context, q relay.Question, a *relay.Answer) {
+	r := result{err: errNoPeer}
+	switch {
+	case s.health.Lost():
+	case q.Verb == relay.VerbCancel:
+		r = s.direct(ctx, layout.CancelKey(q.Job), layout.Encode(s.now().UnixMilli()))
+	case q.Workflow != nil:
+		value := layout.Encode(layout.Job{Workflow: q.Workflow, Accepted: s.now().UnixMilli()})
+		r = s.direct(ctx, layout.JobKey(q.Workflow.ID), value)
+	}
+	if r.err == nil {
+		return
+	}
+	a.Reason, a.Outcome, a.RetryAfter = sched.ReasonStoreUnavailable, sched.NotRun, comeBack
+	if r.open {
+		a.Outcome = sched.Unknown
+	}
+}
+
+// recentSize bounds the ended jobs that an entry remembers.
+const recentSize = 4096
+
+// recent remembers the final states of the jobs that were asked for last.
+type recent struct {
+	mu    sync.Mutex
+	state map[sched.JobID]sched.JobState
+	ring  []sched.JobID
+	next  int
+}
+
+func newRecent(size int) *recent {
+	return &recent{state: map[sched.JobID]sched.JobState{}, ring: make([]sched.JobID, size)}
+}
+
+func (r *recent) get(id sched.JobID) (sched.JobState, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, ok := r.state[id]
+	return s, ok
+}
+
+func (r *recent) put(id sched.JobID, s sched.JobState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.state[id]; ok {
+		return
+	}
+	delete(r.state, r.ring[r.next])
+	r.ring[r.next] = id
+	r.next = (r.next + 1) % len(r.ring)
+	r.state[id] = s
+}
--- /dev/null
+++ b/internal/layout/layout.go
@@ -0,0 +1,100 @@
+// Package layout names the keys that entries share in the metadata store and
+// encodes their values.
+//
+//	Mangoslip/Leader           the leader, under a lease
+//	Mangoslip/Work/Term        the number of the newest term; every record of a
+//	                           leader is written under the condition that it is
+//	                           unchanged
+//	Mangoslip/Work/Jobs/ID     an accepted job
+//	Mangoslip/Work/Cancels/ID  a cancelled job
+//	Mangoslip/Progress/ID      how far a job has come
+//	Mangoslip/Roster           the workers that may have been given orders
+//	Mangoslip/Entries/NAME     an entry that lives, under a lease
+//
+// The term and the jobs share a prefix, so that one watch delivers them in the
+// order of their versions: a leader learns that it was replaced before it
+// learns of any job that was accepted afterwards.
+//
+// # Usage
+//
+//	b := layout.Encode(layout.Job{Workflow: w, Accepted: now.UnixMilli()})
+//	txn.Writes = append(txn.Writes, sched.Write{Key: layout.JobKey(w.ID), Value: b})
+package layout
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/mangoslip/mangoslip/pkg/sched"
+)
+
+// The keys and prefixes.
+const (
+	Root         = "Mangoslip/"
+	LeaderKey    = Root + "Leader"
+	WorkPrefix   = Root + "Work/"
+	TermKey      = WorkPrefix + "Term"
+	jobPrefix    = WorkPrefix + "Jobs/"
+	cancelPrefix = WorkPrefix + "Cancels/"
+	EntryPrefix  = Root + "Entries/"
+)
+
+// Leader is the value of [LeaderKey].
+type Leader struct {
+	Name sched.EntryName `cbor:"1,keyasint"`
+	Addr netip.AddrPort  `cbor:"2,keyasint"`
+	Term uint64          `cbor:"3,keyasint"`
+}
+
+// Term is the value of [TermKey].
+type Term struct {
+	Number uint64          `cbor:"1,keyasint"`
+	Name   sched.EntryName `cbor:"2,keyasint"`
+	// ID tells two attempts to begin the same term apart.
+	ID uint64 `cbor:"3,keyasint"`
+}
+
+// Job is the value of a job's key. Accepted is Unix time in milliseconds.
+type Job struct {
+	Workflow *sched.Workflow `cbor:"1,keyasint"`
+	Accepted int64           `cbor:"2,keyasint"`
+}
+
+// Entry is the value of an entry's key.
+type Entry struct {
+	Name sched.EntryName `cbor:"1,keyasint"`
+	Addr netip.AddrPort  `cbor:"2,keyasint"`
+}
+
+// JobKey returns the key of a job.
+func JobKey(id sched.JobID) string { return jobPrefix + string(id) }
+
+// CancelKey returns the key of a job's cancellation.
+func CancelKey(id sched.JobID) string { return cancelPrefix + string(id) }
+
+// JobOf returns the job that a key belongs to.
+func JobOf(key string) (sched.JobID, bool) {
+	id, ok := strings.CutPrefix(key, jobPrefix)
+	return sched.JobID(id), ok
+}
+
+// CancelOf returns the job whose cancellation a key is.
+func CancelOf(key string) (sched.JobID, bool) {
+	id, ok := strings.CutPrefix(key, cancelPrefix)
+	return sched.JobID(id), ok
+}
+
+// Encode returns the stored form of a value.
+func Encode(v any) []byte {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("encode %T: %v", v, err)) // The types have no value that fails.
+	}
+	return b
+}
+
+// Decode reads the stored form of a value.
+func Decode(b []byte, v any) error { return cbor.Unmarshal(b, v) }
--- /dev/null
+++ b/internal/leader/elect.go
@@ -0,0 +1,129 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+
+	"github.com/mangoslip/mangoslip/internal/layout"
+	"github.com/mangoslip/mangoslip/pkg/sched"
+)
+
+// seat is what an entry has read before it campaigns.
+type seat struct{ term sched.Item }
+
+// follow waits until there is no leader. It reports whether the store was not
+// reached meanwhile.
+func (l *Leader) follow(ctx context.Context) (seat, bool) {
+	outage := false
+	for ctx.Err() == nil {
+		leader, err := l.store.Get(ctx, layout.LeaderKey)
+		switch {
+		case errors.Is(err, sched.ErrNotFound):
+			term, err := l.store.Get(ctx, layout.TermKey)
+			if err == nil || errors.Is(err, sched.ErrNotFound) {
+				return seat{term}, outage
+			}
+		case err == nil:
+			outage = l.watchLeader(ctx, leader)
+			continue
+		}
+		if !outage {
+			l.log.Warn("store lost", "step", "read leader", "error", err)
+		}
+		outage = true
+		pause(ctx, retryPause)
+	}
+	return seat{}, outage
+}
+
+// watchLeader returns when the leader's key may have been removed. It reports
+// whether the store was not reached.
+func (l *Leader) watchLeader(ctx context.Context, item sched.Item) bool {
+	l.learn(item)
+	after := item.Version
+	for ctx.Err() == nil {
+		changes, next, err := l.store.Watch(ctx, layout.LeaderKey, after, watchWait)
+		switch {
+		case errors.Is(err, sched.ErrCompacted):
+			return false
+		case err != nil:
+			l.log.Warn("store lost", "step", "watch leader", "error", err)
+			pause(ctx, retryPause)
+			return true
+		}
+		after = next
+		for _, c := range changes {
+			if c.Removed {
+				l.log.Info("leader's key is gone", "version", c.Version)
+				return false
+			}
+			l.learn(c.Item)
+		}
+	}
+	return false
+}
+
+// learn takes in the value of the leader's key.
+func (l *Leader) learn(item sched.Item) {
+	var v layout.Leader
+	if err := layout.Decode(item.Value, &v); err != nil {
+		l.log.Warn("leader's key is damaged", "version", item.Version, "error", err)
+		return
+	}
+	l.setView(v, "store")
+}
+
+// campaign tries to begin the next term.
+func (l *Leader) campaign(ctx context.Context, s seat) (*term, error) {
+	var last layout.Term
+	if s.term.Version != 0 {
+		if err := layout.Decode(s.term.Value, &last); err != nil {
+			return nil, sched.Wrap(err, "decode term", layout.TermKey)
+		}
+	}
+	lease, ttl, err := l.store.Grant(ctx, l.ttl)
+	if err != nil {
+		return nil, err
+	}
+	next := layout.Term{Number: last.Number + 1, Name: l.Name, ID: rand.Uint64()}
+	me := layout.Leader{Name: l.Name, Addr: l.Addr, Term: next.Number}
+	version, err := l.store.Commit(ctx, sched.Txn{
+		Conditions: []sched.Condition{
+			{Key: layout.LeaderKey}, {Key: layout.TermKey, Version: s.term.Version},
+		},
+		Writes: []sched.Write{
+			{Key: layout.LeaderKey, Value: layout.Encode(me), Lease: lease},
+			{Key: layout.TermKey, Value: layout.Encode(next)},
+		},
+	})
+	if errors.Is(err, sched.ErrLost) {
+		version, err = l.resolve(ctx, next)
+	}
+	if err != nil {
+		return nil, err
+	}
+	l.log.Info("term begins", "term", next.Number, "version", version, "ttl", ttl, "previous", last.Name)
+	t := newTerm(ctx, l, next, version, lease)
+	l.mu.Lock()
+	l.term, l.view = t, me
+	l.mu.Unlock()
+	l.announce(me)
+	return t, nil
+}
+
+// resolve reads the term back after the answer to a campaign was lost.
+func (l *Leader) resolve(ctx context.Context, want layout.Term) (sched.Version, error) {
+	item, err := l.store.Get(ctx, layout.TermKey)
+	if err != nil {
+		return 0, err
+	}
+	var got layout.Term
+	if err := layout.Decode(item.Value, &got); err != nil {
+		return 0, err
+	}
+	if got != want {
+		return 0, sched.Wrap(sched.ErrConflict, "resolve campaign", string(got.Name))
+	}
+	return item.Version, nil
+}
--- /dev/null
+++ b/internal/leader/loops.go
@@ -0,0 +1,227 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/mangoslip/mangoslip/internal/layout"
+	"github.com/mangoslip/mangoslip/pkg/sched"
+	"github.com/mangoslip/mangoslip/pkg/sched/flow"
+)
+
+// watchWork delivers jobs, cancellations and newer terms as they are written.
+func (t *term) watchWork(after sched.Version) {
+	lost := false
+	for t.ctx.Err() == nil {
+		changes, next, err := t.l.store.Watch(t.ctx, layout.WorkPrefix, after, watchWait)
+		switch {
+		case err == nil:
+			after = next
+		case errors.Is(err, sched.ErrCompacted):
+			changes, after, err = t.reread()
+		}
+		if err != nil {
+			if !lost && t.ctx.Err() == nil {
+				t.l.log.Warn("store lost", "step", "watch work", "after", after, "error", err)
+			}
+			lost = true
+			pause(t.ctx, retryPause)
+			continue
+		}
+		if lost {
+			t.l.log.Info("store regained", "step", "watch work", "after", after)
+			lost = false
+		}
+		for _, c := range changes {
+			t.postWork(c, nil)
+		}
+	}
+}
+
+// reread reads all jobs anew after the history of the watch was dropped.
+func (t *term) reread() ([]sched.Change, sched.Version, error) {
+	items, version, err := t.l.store.Range(t.ctx, layout.WorkPrefix, false)
+	t.l.log.Info("watch's history is gone; work read anew", "items", len(items), "version", version, "error", err)
+	changes := make([]sched.Change, len(items))
+	for i, item := range items {
+		changes[i] = sched.Change{Item: item}
+	}
+	return changes, version, err
+}
+
+// postWork delivers a change below the prefix of the work.
+func (t *term) postWork(c sched.Change, progress map[string]sched.Item) {
+	if c.Removed {
+		return
+	}
+	if c.Key == layout.TermKey {
+		if c.Version > t.version {
+			t.end("a newer term exists in the store")
+		}
+		return
+	}
+	if id, ok := layout.CancelOf(c.Key); ok {
+		t.post(flow.CancelMsg{Job: id})
+		return
+	}
+	id, ok := layout.JobOf(c.Key)
+	if !ok {
+		return
+	}
+	var job layout.Job
+	if err := layout.Decode(c.Value, &job); err != nil || job.Workflow == nil {
+		t.l.log.Error("stored job is damaged", "id", id, "version", c.Version, "error", err)
+		return
+	}
+	p := progress[layout.Root+flow.KeyProgress+string(id)]
+	t.post(flow.JobMsg{
+		Job: job.Workflow, Accepted: job.Accepted, Inherited: c.Version < t.version,
+		Progress: p.Value, Version: p.Version,
+	})
+}
+
+// watchMembers reads the register of workers again and again. It is read
+// rather than watched: every heartbeat of every worker would be an event.
+func (t *term) watchMembers() {
+	lost := false
+	for t.ctx.Err() == nil {
+		items, _, err := t.l.store.Range(t.ctx, t.l.MembersPrefix, false)
+		switch {
+		case err == nil:
+			if lost {
+				t.l.log.Info("store regained", "step", "read workers")
+			}
+			lost = false
+			t.postMembers(items)
+			pause(t.ctx, membersEvery)
+		default:
+			if !lost && t.ctx.Err() == nil {
+				t.l.log.Warn("store lost", "step", "read workers", "error", err)
+			}
+			lost = true
+			pause(t.ctx, retryPause)
+		}
+	}
+}
+
+func (t *term) postMembers(items []sched.Item) {
+	members, broken := t.l.Members(items)
+	t.mu.Lock()
+	for key, err := range broken {
+		if !t.broken[key] {
+			t.broken[key] = true
+			t.l.log.Warn("register entry names no worker", "key", key, "error", err)
+		}
+	}
+	t.mu.Unlock()
+	t.post(flow.MembersMsg{Members: members})
+}
+
+// tick lets the machine notice that time has passed.
+func (t *term) tick() {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-ticker.C:
+			t.post(sched.TickMsg{})
+		}
+	}
+}
+
+// keepWhileLoading renews the lease while the state is read.
+func (t *term) keepWhileLoading() {
+	for t.ctx.Err() == nil {
+		t.l.mu.Lock()
+		loaded := t.loaded
+		t.l.mu.Unlock()
+		if loaded {
+			return
+		}
+		t.renew()
+		pause(t.ctx, keepEvery)
+	}
+}
+
+// keep renews the lease and proves that the term is the newest.
+func (t *term) keep() {
+	for t.ctx.Err() == nil {
+		pause(t.ctx, keepEvery)
+		t.renew()
+		t.mu.Lock()
+		age := time.Since(t.asked)
+		t.mu.Unlock()
+		if age > confirmEvery {
+			t.prove()
+		}
+	}
+}
+
+// renew renews the lease. If it has ended, the leader's key is written anew:
+// as long as nobody has begun a newer term, this one goes on.
+func (t *term) renew() {
+	t.leaseMu.Lock()
+	defer t.leaseMu.Unlock()
+	err := t.l.store.Keep(t.ctx, t.lease)
+	if !errors.Is(err, sched.ErrNoLease) {
+		return // The next renewal follows soon; the term rests on other proofs.
+	}
+	t.l.log.Warn("leader's lease has ended", "term", t.number)
+	lease, _, err := t.l.store.Grant(t.ctx, t.l.ttl)
+	if err != nil {
+		t.l.log.Warn("lease not granted", "term", t.number, "error", err)
+		return
+	}
+	me := layout.Leader{Name: t.l.Name, Addr: t.l.Addr, Term: t.number}
+	_, err = t.l.store.Commit(t.ctx, sched.Txn{
+		Conditions: []sched.Condition{{Key: layout.LeaderKey}, {Key: layout.TermKey, Version: t.version}},
+		Writes:     []sched.Write{{Key: layout.LeaderKey, Value: layout.Encode(me), Lease: lease}},
+	})
+	if conflict := (*sched.ConflictError)(nil); errors.As(err, &conflict) && conflict.Version(layout.TermKey) != t.version {
+		t.end("a newer term exists in the store")
+		return
+	}
+	t.l.log.Info("leader's key written again", "term", t.number, "error", err)
+	t.lease = lease
+}
+
+// prove reads the term.
+func (t *term) prove() {
+	asked := time.Now()
+	item, err := t.l.store.Get(t.ctx, layout.TermKey)
+	switch {
+	case err != nil:
+		return // Without a proof the machine relies on the workers.
+	case item.Version != t.version:
+		t.end("a newer term exists in the store")
+	default:
+		t.confirm(asked)
+	}
+}
+
+// flushPatience bounds the wait for records in a planned stop.
+const flushPatience = 400 * time.Millisecond
+
+// resign ends the term in a planned stop: what can be recorded is recorded,
+// and the leader's key is removed, so that another entry leads at once.
+func (t *term) resign(ctx context.Context) {
+	deadline := time.Now().Add(flushPatience)
+	for time.Now().Before(deadline) {
+		t.mu.Lock()
+		waiting := t.machine.Totals().Undurable
+		t.mu.Unlock()
+		if waiting == 0 {
+			break
+		}
+		pause(ctx, 20*time.Millisecond)
+	}
+	t.end("planned stop")
+	t.leaseMu.Lock()
+	defer t.leaseMu.Unlock()
+	if err := t.l.store.Revoke(ctx, t.lease); err != nil {
+		t.l.log.Warn("leader's lease not ended", "term", t.number, "error", err)
+	}
+}
--- /dev/null
+++ b/internal/leader/term.go
@@ -0,0 +1,285 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/mangoslip/mangoslip/internal/layout"
+	"github.com/mangoslip/mangoslip/pkg/sched"
+	"github.com/mangoslip/mangoslip/pkg/sched/flow"
+)
+
+// term is one term of this entry: the machine and the loops that feed it.
+type term struct {
+	l       *Leader
+	number  uint64
+	version sched.Version
+	started time.Time
+
+	leaseMu sync.Mutex
+	lease   sched.LeaseID
+
+	// slots bounds the orders in progress, holds aside.
+	slots chan struct{}
+
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	wg     sync.WaitGroup
+
+	mu      sync.Mutex
+	machine *flow.Machine
+	asked   time.Time
+	broken  map[string]bool
+	// loaded is guarded by the leader's lock.
+	loaded bool
+}
+
+// errTermOver is the cause of the end of a term.
+var errTermOver = errors.New("term is over")
+
+func newTerm(
+	ctx context.Context, l *Leader, t layout.Term, version sched.Version, lease sched.LeaseID,
+) *term {
+	x := &term{
+		l: l, number: t.Number, version: version, lease: lease, started: time.Now(),
+		asked: time.Now(), broken: map[string]bool{},
+		slots: make(chan struct{}, ordersAtOnce),
+	}
+	x.ctx, x.cancel = context.WithCancelCause(ctx)
+	x.machine = flow.New(t.Number, l.Machine...)
+	return x
+}
+
+// run leads until the term ends.
+func (t *term) run() {
+	defer t.cancel(errTermOver)
+	after, err := t.load()
+	if err == nil {
+		t.spawn(func() { t.watchWork(after) })
+		t.spawn(t.watchMembers)
+		t.spawn(t.keep)
+		t.spawn(t.tick)
+		<-t.ctx.Done()
+	}
+	t.l.mu.Lock()
+	if t.l.term == t {
+		t.l.term = nil
+	}
+	t.l.mu.Unlock()
+	t.wg.Wait()
+	t.l.log.Info("term ends", "term", t.number, "cause", context.Cause(t.ctx), "error", err, "led", time.Since(t.started))
+}
+
+func (t *term) spawn(f func()) {
+	t.wg.Add(1)
+	go func() {
+		defer t.wg.Done()
+		f()
+	}()
+}
+
+// end ends the term.
+func (t *term) end(why string) {
+	t.l.log.Info("term is given up", "term", t.number, "cause", why)
+	t.cancel(errTermOver)
+}
+
+// load reads everything that is durable and begins the survey of the workers.
+func (t *term) load() (sched.Version, error) {
+	t.spawn(t.keepWhileLoading)
+	jobs, after, err := t.rangeUntil(layout.WorkPrefix)
+	if err != nil {
+		return 0, err
+	}
+	stored, _, err := t.rangeUntil(layout.Root + flow.KeyProgress)
+	if err != nil {
+		return 0, err
+	}
+	rosterItems, _, err := t.rangeUntil(layout.Root + flow.KeyRoster)
+	if err != nil {
+		return 0, err
+	}
+	members, _, err := t.rangeUntil(t.l.MembersPrefix)
+	if err != nil {
+		return 0, err
+	}
+	progress := map[string]sched.Item{}
+	for _, i := range stored {
+		progress[i.Key] = i
+	}
+	t.post(flow.ConfirmedMsg{Asked: t.asked})
+	t.l.mu.Lock()
+	fleet := t.l.fleet
+	t.l.mu.Unlock()
+	t.post(flow.ConfigMsg{Fleet: fleet})
+	t.postMembers(members)
+	for _, i := range jobs {
+		t.postWork(sched.Change{Item: i}, progress)
+	}
+	takeover := flow.TakeoverMsg{}
+	for _, i := range rosterItems {
+		if i.Key != layout.Root+flow.KeyRoster {
+			continue
+		}
+		takeover.Version = i.Version
+		if takeover.Roster, err = flow.DecodeRoster(i.Value); err != nil {
+			t.l.log.Error("roster is damaged", "version", i.Version, "error", err)
+		}
+	}
+	t.post(takeover)
+	t.l.log.Info("state loaded", "term", t.number, "items", len(jobs), "progress", len(stored),
+		"members", len(members), "roster", len(takeover.Roster), "took", time.Since(t.started))
+	t.l.mu.Lock()
+	t.loaded = true
+	t.l.mu.Unlock()
+	return after, nil
+}
+
+// rangeUntil reads a prefix and repeats it until it succeeds or the term ends.
+func (t *term) rangeUntil(prefix string) ([]sched.Item, sched.Version, error) {
+	for {
+		items, version, err := t.l.store.Range(t.ctx, prefix, false)
+		if err == nil {
+			return items, version, nil
+		}
+		t.l.log.Warn("state not loaded", "term", t.number, "prefix", prefix, "error", err)
+		pause(t.ctx, retryPause)
+		if t.ctx.Err() != nil {
+			return nil, 0, context.Cause(t.ctx)
+		}
+	}
+}
+
+// post delivers a message to the machine and executes what it asks for.
+func (t *term) post(msg sched.Msg) {
+	t.mu.Lock()
+	cmds := t.machine.Update(time.Now(), msg)
+	t.mu.Unlock()
+	for _, c := range cmds {
+		t.execute(c)
+	}
+}
+
+func (t *term) execute(cmd sched.Cmd) {
+	switch cmd := cmd.(type) {
+	case flow.NoteCmd:
+		t.l.log.Log(t.ctx, slog.LevelInfo, cmd.Event, cmd.Attrs...)
+	case flow.StartCmd:
+		t.l.stats.Count("Starts", 1)
+		go t.limited(func() { t.start(cmd) })
+	case flow.StopCmd:
+		t.l.stats.Count("Stops", 1)
+		go t.limited(func() { t.stop(cmd) })
+	case flow.PaceCmd:
+		t.l.stats.Count("Paces", 1)
+		go t.limited(func() { t.pace(cmd) })
+	case flow.HoldCmd:
+		t.l.stats.Count("Holds", 1)
+		go t.hold(cmd)
+	case flow.CommitCmd:
+		t.l.stats.Count("Commits", 1)
+		go t.commit(cmd)
+	case flow.LostCmd:
+		t.end(cmd.Why)
+	}
+}
+
+// limited sends an order when fewer than ordersAtOnce are in progress. More at
+// once would share the little processor time of an entry until all of them
+// miss their timeouts.
+func (t *term) limited(send func()) {
+	select {
+	case t.slots <- struct{}{}:
+		defer func() { <-t.slots }()
+		send()
+	case <-t.ctx.Done():
+	}
+}
+
+func (t *term) start(cmd flow.StartCmd) {
+	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
+	defer cancel()
+	sent := time.Now()
+	reply, err := t.l.orders.Start(ctx, cmd.Member, cmd.Order)
+	t.l.stats.Observe("StartSeconds", time.Since(sent))
+	t.post(flow.StartResultMsg{
+		Result: flow.Result{Worker: cmd.Member.Worker, Sent: sent, Err: err}, Run: cmd.Order.Run, Reply: reply,
+	})
+}
+
+func (t *term) stop(cmd flow.StopCmd) {
+	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
+	defer cancel()
+	sent := time.Now()
+	reply, err := t.l.orders.Stop(ctx, cmd.Member, cmd.Order)
+	t.post(flow.StopResultMsg{
+		Result: flow.Result{Worker: cmd.Member.Worker, Sent: sent, Err: err}, Run: cmd.Order.Run, Reply: reply,
+	})
+}
+
+func (t *term) pace(cmd flow.PaceCmd) {
+	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
+	defer cancel()
+	sent := time.Now()
+	reply, err := t.l.orders.Pace(ctx, cmd.Member, cmd.Order)
+	t.post(flow.PaceResultMsg{
+		Result: flow.Result{Worker: cmd.Member.Worker, Sent: sent, Err: err}, Run: cmd.Order.Run,
+		Percent: cmd.Order.Percent, Reply: reply,
+	})
+}
+
+func (t *term) hold(cmd flow.HoldCmd) {
+	ctx, cancel := context.WithTimeout(t.ctx, holdTimeout+cmd.Order.Wait)
+	defer cancel()
+	sent := time.Now()
+	report, err := t.l.orders.Hold(ctx, cmd.Member, cmd.Order)
+	t.post(flow.HoldResultMsg{
+		Result: flow.Result{Worker: cmd.Member.Worker, Sent: sent, Err: err}, Seq: cmd.Seq, Report: report,
+	})
+}
+
+// commit writes records under the condition that the term is unchanged.
+func (t *term) commit(cmd flow.CommitCmd) {
+	txn := sched.Txn{Conditions: []sched.Condition{{Key: layout.TermKey, Version: t.version}}}
+	for _, r := range cmd.Records {
+		key := layout.Root + r.Key
+		txn.Conditions = append(txn.Conditions, sched.Condition{Key: key, Version: r.Version})
+		if r.Value == nil {
+			txn.Removes = append(txn.Removes, key)
+			continue
+		}
+		txn.Writes = append(txn.Writes, sched.Write{Key: key, Value: r.Value})
+	}
+	sent := time.Now()
+	version, err := t.l.store.Commit(t.ctx, txn)
+	t.l.stats.Observe("CommitSeconds", time.Since(sent))
+	if err == nil {
+		t.confirm(sent)
+		t.post(flow.CommittedMsg{Seq: cmd.Seq, Version: version})
+		return
+	}
+	failed := flow.CommitFailedMsg{Seq: cmd.Seq, Err: err}
+	if conflict := (*sched.ConflictError)(nil); errors.As(err, &conflict) {
+		failed.Conflict = true
+		failed.Deposed = conflict.Version(layout.TermKey) != t.version
+		failed.Versions = map[string]sched.Version{}
+		for _, r := range cmd.Records {
+			failed.Versions[r.Key] = conflict.Version(layout.Root + r.Key)
+		}
+	}
+	t.post(failed)
+}
+
+// confirm notes a proof that the term is the newest one.
+func (t *term) confirm(asked time.Time) {
+	t.mu.Lock()
+	if asked.After(t.asked) {
+		t.asked = asked
+	}
+	asked = t.asked
+	t.mu.Unlock()
+	t.post(flow.ConfirmedMsg{Asked: asked})
+}
--- /dev/null
+++ b/pkg/sched/flow/codec.go
@@ -0,0 +1,152 @@
+package flow
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/mangoslip/mangoslip/pkg/sched"
+)
+
+// progress is the durable form of a job's progress.
+type progress struct {
+	State       sched.JobState     `cbor:"1,keyasint"`
+	Cause       string             `cbor:"2,keyasint,omitempty"`
+	Occurrences []progressOccurred `cbor:"3,keyasint,omitempty"`
+	Started     bool               `cbor:"4,keyasint,omitempty"`
+}
+
+type progressOccurred struct {
+	Index int            `cbor:"1,keyasint"`
+	Steps []progressStep `cbor:"2,keyasint"`
+}
+
+type progressStep struct {
+	// Done has bit i set if task i has succeeded.
+	Done []byte `cbor:"1,keyasint,omitempty"`
+	// Failed lists the numbers of the failed runs by task.
+	Failed map[int][]uint64 `cbor:"2,keyasint,omitempty"`
+	Saved  map[int]string   `cbor:"3,keyasint,omitempty"`
+}
+
+// encodeProgress returns the durable form of a job's progress.
+func encodeProgress(j *job) []byte {
+	p := progress{State: j.state, Cause: j.cause, Started: j.started}
+	if !j.state.Final() {
+		for _, o := range j.occurrences {
+			if o != nil {
+				p.Occurrences = append(p.Occurrences, progressOf(o))
+			}
+		}
+	}
+	b, err := cbor.Marshal(p)
+	if err != nil {
+		panic(fmt.Sprintf("encode progress: %v", err)) // The types have no value that fails.
+	}
+	return b
+}
+
+func progressOf(o *occurrence) progressOccurred {
+	out := progressOccurred{Index: o.index}
+	for _, s := range o.steps {
+		ps := progressStep{}
+		for i, t := range s.tasks {
+			switch {
+			case t.phase == phaseDone:
+				for len(ps.Done) <= i/8 {
+					ps.Done = append(ps.Done, 0)
+				}
+				ps.Done[i/8] |= 1 << (i % 8)
+				continue
+			case t.saved != "":
+				if ps.Saved == nil {
+					ps.Saved = map[int]string{}
+				}
+				ps.Saved[i] = t.saved
+			}
+			if len(t.failed) > 0 {
+				if ps.Failed == nil {
+					ps.Failed = map[int][]uint64{}
+				}
+				ps.Failed[i] = t.failed
+			}
+		}
+		out.Steps = append(out.Steps, ps)
+	}
+	return out
+}
+
+// restore applies durable progress to a job that was just made.
+func (m *Machine) restore(j *job, b []byte) error {
+	var p progress
+	if err := cbor.Unmarshal(b, &p); err != nil {
+		return err
+	}
+	j.state, j.cause, j.started = p.State, p.Cause, p.Started
+	if j.state.Final() {
+		return nil
+	}
+	for _, po := range p.Occurrences {
+		if po.Index < 0 || po.Index >= j.spec.Occurrences() {
+			return fmt.Errorf("occurrence %d of %d", po.Index, j.spec.Occurrences())
+		}
+		m.restoreOccurrence(m.occurrence(j, po.Index), po)
+	}
+	return nil
+}
+
+func (m *Machine) restoreOccurrence(o *occurrence, po progressOccurred) {
+	for i, ps := range po.Steps {
+		if i >= len(o.steps) {
+			return
+		}
+		s := o.steps[i]
+		for n, t := range s.tasks {
+			t.failed, t.saved = ps.Failed[n], ps.Saved[n]
+			if n/8 < len(ps.Done) && ps.Done[n/8]&(1<<(n%8)) != 0 {
+				t.phase = phaseDone
+				s.remaining--
+			}
+		}
+		if s.remaining == 0 && len(s.tasks) > 0 {
+			o.remaining--
+			m.release(s)
+		}
+	}
+}
+
+// ProgressState returns the state of a job from its durable progress.
+func ProgressState(b []byte) (sched.JobState, error) {
+	var p progress
+	if err := cbor.Unmarshal(b, &p); err != nil {
+		return 0, err
+	}
+	if p.State == sched.JobQueued && p.Started {
+		return sched.JobRunning, nil
+	}
+	return p.State, nil
+}
+
+// EncodeRoster returns the durable form of the roster.
+func EncodeRoster(members []sched.Member) []byte {
+	b, err := cbor.Marshal(members)
+	if err != nil {
+		panic(fmt.Sprintf("encode roster: %v", err)) // The types have no value that fails.
+	}
+	return b
+}
+
+// DecodeRoster returns the workers of a durable roster.
+func DecodeRoster(b []byte) ([]sched.Member, error) {
+	var out []sched.Member
+	err := cbor.Unmarshal(b, &out)
+	return out, err
+}
+
+// taskName returns the form of a task's name that logs use.
+func taskName(t sched.RunTask) string {
+	parts := []string{string(t.Job), strconv.Itoa(t.Occurrence), strconv.Itoa(t.Step), strconv.Itoa(t.Index)}
+	return strings.Join(parts, ".")
+}
--- /dev/null
+++ b/pkg/sched/flow/flow.go
@@ -0,0 +1,188 @@
+// Package flow is the state machine that runs workflows: jobs whose steps
+// depend on each other, on the workers of a fleet.
+//
+// One leader drives one machine. The machine keeps every job in memory,
+// decides which task starts where, renews the leases of what runs, and turns
+// the ends that workers list into progress that it makes durable. It does no
+// I/O: messages go in, commands come out.
+//
+// # One place at a time
+//
+// A task is started again only after its last run has surely ended: the worker
+// listed the end, another life of the worker answered, the worker confirmed a
+// stop of a run that it does not list, or the deadline of everything that was
+// ever ordered on the worker has passed on the worker's clock even if that
+// clock is slow. Orders carry the leader's term as a fence, so a worker that
+// was asked by a newer leader ignores an older one.
+//
+// # Ends
+//
+// An end that changes a job's progress is confirmed to its worker only after
+// the progress is durable. A worker repeats ends that were not confirmed, so a
+// new leader learns what its predecessor did not record.
+//
+// # Takeover
+//
+// A new leader asks every worker of the roster for its runs before it starts a
+// task that an earlier leader may have started. If a worker does not answer,
+// such tasks wait until the leases of the earlier leader have lapsed.
+//
+// # Usage
+//
+//	m := flow.New(term, flow.WithLease(4*time.Second))
+//	m.Update(now, flow.ConfigMsg{Fleet: fleet})
+//	m.Update(now, flow.MembersMsg{Members: members})
+//	m.Update(now, flow.JobMsg{Job: job})
+//	for _, cmd := range m.Update(now, sched.TickMsg{}) {
+//		// execute cmd and feed its result back as a message
+//	}
+package flow
+
+import (
+	"time"
+
+	"github.com/mangoslip/mangoslip/pkg/sched"
+)
+
+// Machine is the state of one leader's term. It implements [sched.Machine].
+type Machine struct {
+	options
+	term  uint64
+	fleet *sched.Fleet
+
+	now  time.Time
+	cmds []sched.Cmd
+
+	jobs  map[sched.JobID]*job
+	live  []*job
+	timed []*job
+	// cancels holds cancellations that arrived before their job.
+	cancels map[sched.JobID]bool
+
+	workers map[sched.WorkerName]*worker
+	order   []*worker
+
+	commits  commits
+	roster   roster
+	recovery recovery
+	disturb  disturb
+	runtimes runtimes
+
+	// stale means that tasks or room have changed since the last pass.
+	stale    bool
+	lastPass time.Time
+	lost     bool
+
+	// confirmedAt is when the store was last asked and showed this term;
+	// mayOrder tells whether runs may be started and renewed.
+	confirmedAt time.Time
+	mayOrder    bool
+}
+
+var _ sched.Machine = (*Machine)(nil)
+
+// New returns the machine of a leader's term. It knows no job and no worker.
+func New(term uint64, opts ...Option) *Machine {
+	m := &Machine{
+		options:  defaults(),
+		term:     term,
+		fleet:    &sched.Fleet{},
+		jobs:     map[sched.JobID]*job{},
+		cancels:  map[sched.JobID]bool{},
+		workers:  map[sched.WorkerName]*worker{},
+		mayOrder: true,
+	}
+	for _, o := range opts {
+		o(&m.options)
+	}
+	m.commits.init()
+	m.runtimes.init()
+	m.disturb.init()
+	return m
+}
+
+// Update consumes one message at time now and returns the effects to execute,
+// in order.
+func (m *Machine) Update(now time.Time, msg sched.Msg) []sched.Cmd {
+	if m.lost {
+		return nil
+	}
+	m.now, m.cmds = now, nil
+	m.apply(msg)
+	if m.lost {
+		return m.cmds
+	}
+	m.schedule()
+	m.commit()
+	return m.cmds
+}
+
+func (m *Machine) apply(msg sched.Msg) {
+	switch msg := msg.(type) {
+	case sched.TickMsg:
+		m.tick()
+	case ConfigMsg:
+		m.configure(msg.Fleet)
+	case MembersMsg:
+		m.setMembers(msg.Members)
+	case JobMsg:
+		m.addJob(msg)
+	case CancelMsg:
+		m.cancelJob(msg.Job)
+	case ConfirmedMsg:
+		m.confirmedAt = msg.Asked
+		m.checkEvidence()
+	case TakeoverMsg:
+		m.takeOver(msg)
+	case HoldResultMsg:
+		m.held(msg)
+	case StartResultMsg:
+		m.started(msg)
+	case StopResultMsg:
+		m.stopped(msg)
+	case PaceResultMsg:
+		m.paced(msg)
+	case CommittedMsg:
+		m.committed(msg)
+	case CommitFailedMsg:
+		m.commitFailed(msg)
+	}
+}
+
+// tick handles what depends on time alone.
+func (m *Machine) tick() {
+	m.checkEvidence()
+	m.endRecovery()
+	m.openDue()
+	for _, w := range m.order {
+		m.tend(w)
+	}
+	m.moveSlowed()
+	m.forget()
+	m.stale = true
+}
+
+// configure puts a configuration in force. Revisions never decrease.
+func (m *Machine) configure(f *sched.Fleet) {
+	if f == nil || f.Revision < m.fleet.Revision {
+		return
+	}
+	m.note("configuration in force", "revision", f.Revision, "previous", m.fleet.Revision,
+		"queues", len(f.Queues), "pools", len(f.Pools))
+	m.fleet = f
+	m.stale = true
+}
+
+// emit adds an effect.
+func (m *Machine) emit(c sched.Cmd) { m.cmds = append(m.cmds, c) }
+
+// note asks the runner to log a decision.
+func (m *Machine) note(event string, attrs ...any) {
+	m.emit(NoteCmd{Event: event, Attrs: attrs})
+}
+
+// giveUp ends the term: a newer leader exists.
+func (m *Machine) giveUp(why string) {
+	m.lost = true
+	m.emit(LostCmd{Why: why})
+}
--- /dev/null
+++ b/pkg/sched/flow/job.go
@@ -0,0 +1,404 @@
+package flow
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/mangoslip/mangoslip/pkg/sched"
+)
+
+// job is a workflow and how far it has come.
+type job struct {
+	spec  *sched.Workflow
+	queue sched.QueueName
+	// accepted is when the job was accepted, on the machine's clock.
+	accepted time.Time
+	// inherited means that an earlier leader may have started tasks of it.
+	inherited bool
+
+	occurrences []*occurrence
+	opened      int
+	remaining   int
+
+	state sched.JobState
+	// durable is the last state that is known to be recorded; only this one
+	// is shown once it is final.
+	durable  sched.JobState
+	started  bool
+	cause    string
+	finished time.Time
+
+	// dirty means that the job waits for a commit, flying that it is in one.
+	dirty, flying bool
+	// firstMark is the first change that is not durable, 0 if there is none,
+	// and lastMark the last change.
+	firstMark, lastMark uint64
+	version             sched.Version
+}
+
+// occurrence is one run of the steps of a job.
+type occurrence struct {
+	job   *job
+	index int
+	// due is when the occurrence may start.
+	due       time.Time
+	steps     []*step
+	remaining int
+	ended     bool
+}
+
+// step is one step of an occurrence.
+type step struct {
+	occ   *occurrence
+	spec  *sched.StepSpec
+	index int
+	tasks []*task
+	// waits counts the earlier steps that have not ended.
+	waits     int
+	remaining int
+	// ready is when the last of the earlier steps ended.
+	ready time.Time
+	// queued counts tasks that wait for a worker.
+	queued int
+	// gangRun is the number of the current run of a gang.
+	gangRun uint64
+	// placedOn counts runs by worker, for anti-affinity.
+	placedOn map[*worker]int
+	// blocked is why no task of the step could be placed in the last pass.
+	blocked string
+}
+
+// phase is where a task stands.
+type phase uint8
+
+const (
+	phaseWaiting phase = iota // earlier steps have not ended
+	phaseQueued               // may be placed
+	phaseActive               // has a run that has not ended
+	phaseDone
+	phaseDropped // its job has ended
+)
+
+// task is one task of a step.
+type task struct {
+	step  *step
+	index int
+	phase phase
+	runs  []*run
+	// number is that of the last run.
+	number uint64
+	// failed lists the runs that failed, to count each once.
+	failed []uint64
+	saved  string
+	// avoid lists the workers on which the task failed or stood still.
+	avoid []sched.WorkerName
+	// queuedAt is when the task last began to wait for a worker.
+	queuedAt time.Time
+	// doubted means that an earlier leader may have started the task on a
+	// worker that has not answered yet.
+	doubted bool
+}
+
+func (t *task) job() *job { return t.step.occ.job }
+
+func (t *task) id() sched.RunTask {
+	return sched.RunTask{
+		Job: t.job().spec.ID, Occurrence: t.step.occ.index, Step: t.step.index, Index: t.index,
+	}
+}
+
+// name returns the task's name within its job.
+func (t *task) name() string {
+	b := make([]byte, 0, 16)
+	b = strconv.AppendInt(b, int64(t.step.occ.index), 10)
+	b = append(b, '.')
+	b = strconv.AppendInt(b, int64(t.step.index), 10)
+	b = append(b, '.')
+	return string(strconv.AppendInt(b, int64(t.index), 10))
+}
+
+func (t *task) avoids(w sched.WorkerName) bool {
+	for _, a := range t.avoid {
+		if a == w {
+			return true
+		}
+	}
+	return false
+}
+
+// addJob takes in an accepted job.
+func (m *Machine) addJob(msg JobMsg) {
+	id := msg.Job.ID
+	if m.jobs[id] != nil {
+		return
+	}
+	j := &job{
+		spec: msg.Job, queue: msg.Job.Queue, version: msg.Version, inherited: msg.Inherited,
+		remaining: msg.Job.Occurrences(),
+	}
+	j.accepted = m.now
+	if age := time.Duration(m.wall(m.now)-msg.Accepted) * time.Millisecond; age > 0 {
+		j.accepted = m.now.Add(-age)
+	}
+	m.jobs[id] = j
+	if msg.Progress != nil {
+		if err := m.restore(j, msg.Progress); err != nil {
+			m.note("stored progress is damaged; the job starts anew", "id", id, "error", err)
+		}
+	}
+	if j.state.Final() {
+		j.durable, j.finished = j.state, m.now
+		return
+	}
+	m.note("job known", "id", id, "queue", j.queue, "steps", len(j.spec.Steps),
+		"age", m.now.Sub(j.accepted), "inherited", j.inherited, "version", j.version)
+	m.live = append(m.live, j)
+	if m.cancels[id] {
+		m.cancelJob(id)
+		return
+	}
+	if j.spec.Repeat > 0 {
+		m.timed = append(m.timed, j)
+		m.openDue()
+		return
+	}
+	m.openOccurrence(j, 0, j.accepted)
+}
+
+// openDue opens the occurrences whose time has come.
+func (m *Machine) openDue() {
+	keep := m.timed[:0]
+	for _, j := range m.timed {
+		if j.state.Final() {
+			continue
+		}
+		wall := m.wall(m.now)
+		for j.opened < j.spec.Repeat && j.spec.Due(j.opened) <= wall {
+			late := time.Duration(wall-j.spec.Due(j.opened)) * time.Millisecond
+			m.openOccurrence(j, j.opened, m.now.Add(-late))
+		}
+		if j.opened < j.spec.Repeat {
+			keep = append(keep, j)
+		}
+	}
+	clear(m.timed[len(keep):])
+	m.timed = keep
+}
+
+// openOccurrence makes the steps of an occurrence known. Steps that wait for
+// none are queued. An occurrence that was restored is only queued.
+func (m *Machine) openOccurrence(j *job, index int, due time.Time) {
+	o := m.occurrence(j, index)
+	if j.opened <= index {
+		j.opened = index + 1
+	}
+	o.due = due
+	if o.remaining == 0 {
+		m.endOccurrence(o)
+		return
+	}
+	for _, s := range o.steps {
+		if s.waits == 0 {
+			m.openStep(s)
+		}
+	}
+}
+
+// occurrence returns the state of an occurrence and makes it if need be.
+func (m *Machine) occurrence(j *job, index int) *occurrence {
+	for len(j.occurrences) <= index {
+		j.occurrences = append(j.occurrences, nil)
+	}
+	if o := j.occurrences[index]; o != nil {
+		return o
+	}
+	o := &occurrence{job: j, index: index, due: m.now}
+	j.occurrences[index] = o
+	for i := range j.spec.Steps {
+		spec := &j.spec.Steps[i]
+		s := &step{occ: o, spec: spec, index: i, waits: len(spec.After), remaining: spec.Count}
+		for n := range spec.Count {
+			s.tasks = append(s.tasks, &task{step: s, index: n, doubted: j.inherited})
+		}
+		o.steps = append(o.steps, s)
+		if spec.Count > 0 {
+			o.remaining++
+		}
+	}
+	for _, s := range o.steps {
+		if s.remaining == 0 {
+			m.release(s)
+		}
+	}
+	return o
+}
+
+// openStep queues the tasks of a step that waits for nothing.
+func (m *Machine) openStep(s *step) {
+	s.ready = m.now
+	for _, t := range s.tasks {
+		if t.phase == phaseWaiting {
+			m.enqueue(t)
+		}
+	}
+}
+
+// enqueue lets a task wait for a worker.
+func (m *Machine) enqueue(t *task) {
+	if t.phase == phaseQueued {
+		return
+	}
+	t.phase, t.queuedAt = phaseQueued, m.now
+	t.step.queued++
+	m.stale = true
+}
+
+// dequeue takes a task out of the waiting ones.
+func (m *Machine) dequeue(t *task, to phase) {
+	if t.phase == phaseQueued {
+		t.step.queued--
+	}
+	t.phase = to
+}
+
+// taskDone records the success of a task.
+func (m *Machine) taskDone(t *task) {
+	if t.phase == phaseDone {
+		return
+	}
+	m.dequeue(t, phaseDone)
+	m.touch(t.job())
+	m.stopOthers(t)
+	s := t.step
+	s.remaining--
+	if s.remaining > 0 {
+		return
+	}
+	s.occ.remaining--
+	m.release(s)
+	if s.occ.remaining == 0 {
+		m.endOccurrence(s.occ)
+	}
+}
+
+// release opens the steps that waited only for s.
+func (m *Machine) release(s *step) {
+	for _, next := range s.occ.steps {
+		for _, after := range next.spec.After {
+			if after != s.index {
+				continue
+			}
+			next.waits--
+			if next.waits == 0 && s.occ.job.opened > s.occ.index && !s.occ.job.state.Final() {
+				m.openStep(next)
+			}
+		}
+	}
+}
+
+// endOccurrence ends the job if all of its occurrences have ended.
+func (m *Machine) endOccurrence(o *occurrence) {
+	j := o.job
+	if o.ended {
+		return
+	}
+	o.ended = true
+	j.remaining--
+	if j.remaining == 0 && !j.state.Final() {
+		m.endJob(j, sched.JobCompleted, "all tasks done")
+	}
+}
+
+// endJob gives a job its final state and stops what still runs for it.
+func (m *Machine) endJob(j *job, state sched.JobState, cause string) {
+	if j.state.Final() {
+		return
+	}
+	j.state, j.cause, j.finished = state, cause, m.now
+	m.note("job ended", "id", j.spec.ID, "queue", j.queue, "state", state, "cause", cause,
+		"age", m.now.Sub(j.accepted))
+	m.touch(j)
+	for _, t := range j.tasks() {
+		if t.phase != phaseDone {
+			m.dequeue(t, phaseDropped)
+		}
+		for _, r := range t.runs {
+			m.stop(r, cause)
+		}
+	}
+	for i, l := range m.live {
+		if l == j {
+			m.live = append(m.live[:i], m.live[i+1:]...)
+			break
+		}
+	}
+}
+
+// tasks returns all tasks of the occurrences that are known.
+func (j *job) tasks() []*task {
+	var out []*task
+	for _, o := range j.occurrences {
+		if o == nil {
+			continue
+		}
+		for _, s := range o.steps {
+			out = append(out, s.tasks...)
+		}
+	}
+	return out
+}
+
+// task returns a task by its name, or nil if no such task is known. Workers may
+// name an occurrence that is not due yet by this machine's time of day.
+func (m *Machine) task(id sched.RunTask) *task {
+	j := m.jobs[id.Job]
+	if j == nil || id.Occurrence < 0 || id.Occurrence >= j.spec.Occurrences() {
+		return nil
+	}
+	if j.state.Final() && (id.Occurrence >= len(j.occurrences) || j.occurrences[id.Occurrence] == nil) {
+		return nil
+	}
+	o := m.occurrence(j, id.Occurrence)
+	if id.Step < 0 || id.Step >= len(o.steps) {
+		return nil
+	}
+	if tasks := o.steps[id.Step].tasks; id.Index >= 0 && id.Index < len(tasks) {
+		return tasks[id.Index]
+	}
+	return nil
+}
+
+// cancelJob cancels a job that has not ended.
+func (m *Machine) cancelJob(id sched.JobID) {
+	j := m.jobs[id]
+	if j == nil {
+		m.cancels[id] = true
+		return
+	}
+	if !j.state.Final() {
+		m.endJob(j, sched.JobCancelled, "cancelled by its owner")
+	}
+}
+
+// forget drops jobs that ended long ago.
+func (m *Machine) forget() {
+	for id, j := range m.jobs {
+		if !j.durable.Final() || j.dirty || m.now.Sub(j.finished) < m.retention {
+			continue
+		}
+		if j.hasRuns() {
+			continue
+		}
+		delete(m.jobs, id)
+		delete(m.cancels, id)
+	}
+}
+
+func (j *job) hasRuns() bool {
+	for _, t := range j.tasks() {
+		if len(t.runs) > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/sched/flow/messages.go
@@ -0,0 +1,149 @@
+package flow
+
+import (
+	"time"
+
+	"github.com/mangoslip/mangoslip/pkg/sched"
+)
+
+// ConfigMsg puts a configuration in force.
+type ConfigMsg struct{ Fleet *sched.Fleet }
+
+// MembersMsg is the current register of workers.
+type MembersMsg struct{ Members []sched.Member }
+
+// JobMsg tells of an accepted job. A job that is known already is ignored.
+type JobMsg struct {
+	Job *sched.Workflow
+	// Accepted is when the job was accepted, as Unix time in milliseconds.
+	Accepted int64
+	// Inherited means that an earlier leader may have started its tasks.
+	Inherited bool
+	// Progress is the durable progress, if there is any, and Version that of
+	// its value.
+	Progress []byte
+	Version  sched.Version
+}
+
+// CancelMsg cancels a job.
+type CancelMsg struct{ Job sched.JobID }
+
+// TakeoverMsg begins the term: it names the workers that an earlier leader may
+// have given orders to. Jobs are delivered before it.
+type TakeoverMsg struct {
+	Roster  []sched.Member
+	Version sched.Version
+}
+
+// StartCmd starts a run. The runner answers with a StartResultMsg.
+type StartCmd struct {
+	Member sched.Member
+	Order  sched.StartOrder
+}
+
+// StopCmd stops a run. The runner answers with a StopResultMsg.
+type StopCmd struct {
+	Member sched.Member
+	Order  sched.StopOrder
+}
+
+// PaceCmd changes the pace of a run. The runner answers with a PaceResultMsg.
+type PaceCmd struct {
+	Member sched.Member
+	Order  sched.PaceOrder
+}
+
+// HoldCmd renews the leases of a worker and asks for its report. The runner
+// answers with a HoldResultMsg that carries the same Seq.
+type HoldCmd struct {
+	Member sched.Member
+	Order  sched.HoldOrder
+	Seq    uint64
+}
+
+// Result is what the runner knows of a call to a worker.
+type Result struct {
+	Worker sched.WorkerName
+	// Sent is when the call was sent.
+	Sent time.Time
+	// Err is nil, or wraps ErrUnavailable (not carried out) or ErrLost.
+	Err error
+}
+
+// StartResultMsg answers a StartCmd.
+type StartResultMsg struct {
+	Result
+	Run   sched.Run
+	Reply sched.OrderReply
+}
+
+// StopResultMsg answers a StopCmd.
+type StopResultMsg struct {
+	Result
+	Run   sched.Run
+	Reply sched.OrderReply
+}
+
+// PaceResultMsg answers a PaceCmd.
+type PaceResultMsg struct {
+	Result
+	Run     sched.Run
+	Percent int
+	Reply   sched.OrderReply
+}
+
+// HoldResultMsg answers a HoldCmd.
+type HoldResultMsg struct {
+	Result
+	Seq    uint64
+	Report sched.HoldReport
+}
+
+// CommitCmd makes records durable, each under the condition that its key has
+// the version, and all under the condition that the term is the newest. The
+// runner answers with a CommittedMsg or a CommitFailedMsg.
+type CommitCmd struct {
+	Seq     uint64
+	Records []Record
+}
+
+// Record is a durable value. A nil value removes the key.
+type Record struct {
+	Key     string
+	Value   []byte
+	Version sched.Version
+}
+
+// CommittedMsg tells that the records of a commit are durable at a version.
+type CommittedMsg struct {
+	Seq     uint64
+	Version sched.Version
+}
+
+// CommitFailedMsg tells that a commit did not, or may not, take effect.
+// Versions holds the current versions of the commit's keys if Conflict is set.
+type CommitFailedMsg struct {
+	Seq      uint64
+	Conflict bool
+	// Deposed means that a newer term exists.
+	Deposed  bool
+	Versions map[string]sched.Version
+	Err      error
+}
+
+// NoteCmd asks the runner to log a decision with its inputs.
+type NoteCmd struct {
+	Event string
+	Attrs []any
+}
+
+// LostCmd tells that the term has ended.
+type LostCmd struct{ Why string }
+
+// The keys of durable values below the prefix of the deployment.
+const (
+	// KeyProgress is the prefix of the progress of jobs.
+	KeyProgress = "Progress/"
+	// KeyRoster is the key of the workers that may have been given orders.
+	KeyRoster = "Roster"
+)
--- /dev/null
+++ b/pkg/sched/flow/pace.go
@@ -0,0 +1,242 @@
+package flow
+
+import (
+	"errors"
+	"time"
+
+	"github.com/mangoslip/mangoslip/pkg/sched"
+)
+
+// pace is the share of its speed at which a run that fills works, in percent.
+type pace struct {
+	// want is what the machine decided, have what the worker last confirmed;
+	// -1 if that is not known.
+	want, have int
+	inCall     bool
+	sent       time.Time
+	// lowSince is when the pace was last lowered below movePace.
+	lowSince time.Time
+}
+
+const (
+	fullPace = 100
+	// paceGrain is the smallest change of a pace that is ordered, in percent.
+	paceGrain = 10
+	// figureWindow is the time that a reported figure covers.
+	figureWindow = 500 * time.Millisecond
+	// tailGoal is the tail, as a share of its target, that paces aim at, and
+	// tailCalm the one below which caution is given up.
+	tailGoal = 0.85
+	tailCalm = 0.8
+	// harmless is a part of a target that is not worth a change of pace.
+	harmless = 0.04
+	// cautionLeast is the least share of the computed pace that caution
+	// leaves before tasks are paused.
+	cautionLeast = 0.1
+	// movePace is the pace below which a run is better off elsewhere, and
+	// moveAfter how long it has to be that low.
+	movePace  = 50
+	moveAfter = 600 * time.Millisecond
+	// movesPerTick bounds the runs that are moved at a time.
+	movesPerTick = 6
+)
+
+func (p *pace) init() { p.want, p.have = fullPace, fullPace }
+
+// worstTail returns the highest tail on a worker as a share of its target.
+func (w *worker) worstTail() float64 {
+	worst := 0.0
+	for _, r := range w.serveRuns {
+		if r.atWork() {
+			worst = max(worst, r.tail())
+		}
+	}
+	return worst
+}
+
+// adjustPace sets the paces of the tasks that fill a worker: as fast as the
+// learned disturbances permit, and slower while a task that serves is seen to
+// miss its target nevertheless.
+func (m *Machine) adjustPace(w *worker) {
+	if len(w.fillRuns) == 0 {
+		w.caution = 1
+		return
+	}
+	m.adjustCaution(w)
+	for _, r := range w.fillRuns {
+		if r.state == runRunning {
+			m.setPace(r, m.paceFor(w, r))
+		}
+	}
+}
+
+// adjustCaution halves the paces while a target is missed and raises them
+// again when all tails have been low for a while.
+func (m *Machine) adjustCaution(w *worker) {
+	if w.caution == 0 {
+		w.caution = 1
+	}
+	worst := w.worstTail()
+	since := m.now.Sub(w.cautionAt)
+	settle := m.paceTime + figureWindow
+	switch {
+	case worst > 1 && since >= settle:
+		w.caution /= 2
+		w.cautionAt = m.now
+	case worst < tailCalm && since >= 2*settle && w.caution < 1:
+		w.caution = min(1, max(w.caution, cautionLeast)*2)
+		w.cautionAt = m.now
+	}
+}
+
+// paceFor returns the pace of a run beside the tasks that serve.
+func (m *Machine) paceFor(w *worker, r *run) int {
+	share := 1.0
+	capacity := max(float64(w.member.Capacity.CPU), 1)
+	missed := w.worstTail() > 1 || w.caution < 1
+	for _, image := range w.images() {
+		h, known := m.disturb.harmOf(image, r.task.step.spec.Image)
+		part := h * float64(r.task.step.spec.Resources.CPU) / capacity
+		if part < harmless {
+			if !known && missed {
+				share = min(share, w.caution)
+			}
+			continue
+		}
+		total := m.fullHarm(w, image)
+		allowed := max(tailGoal-m.disturb.baseOf(image), 0)
+		share = min(share, w.caution*allowed/max(total, harmless))
+	}
+	if w.caution < cautionLeast {
+		share = min(share, w.caution)
+	}
+	percent := int(share*fullPace+0.5) / paceGrain * paceGrain
+	return min(max(percent, 0), fullPace)
+}
+
+// fullHarm returns what the tasks that fill a worker would take from the
+// target of an image at full pace.
+func (m *Machine) fullHarm(w *worker, image string) float64 {
+	capacity := max(float64(w.member.Capacity.CPU), 1)
+	sum := 0.0
+	for _, r := range w.fillRuns {
+		h, _ := m.disturb.harmOf(image, r.task.step.spec.Image)
+		part := h * float64(r.task.step.spec.Resources.CPU) / capacity
+		if part >= harmless && r.state != runStopping {
+			sum += part
+		}
+	}
+	return sum
+}
+
+// setPace orders a pace if it differs from the one that is in force.
+func (m *Machine) setPace(r *run, percent int) {
+	changed := r.pace.want != percent
+	if changed {
+		m.note("pace changed", "id", r.task.job().spec.ID, "task", r.task.name(), "run", r.number,
+			"worker", r.worker.name(), "percent", percent, "before", r.pace.want, "worst", r.worker.worstTail(),
+			"caution", r.worker.caution)
+		r.pace.want = percent
+	}
+	switch {
+	case percent >= movePace:
+		r.pace.lowSince = time.Time{}
+	case r.pace.lowSince.IsZero():
+		r.pace.lowSince = m.now
+	}
+	if r.pace.inCall || r.pace.have == r.pace.want {
+		return
+	}
+	if !changed && m.now.Sub(r.pace.sent) < m.callTime {
+		return
+	}
+	r.pace.inCall, r.pace.sent = true, m.now
+	m.emit(PaceCmd{Member: r.worker.member, Order: sched.PaceOrder{Run: r.id(), Percent: r.pace.want, Fence: m.term}})
+}
+
+// paced takes in the answer to a change of pace.
+func (m *Machine) paced(msg PaceResultMsg) {
+	w := m.workers[msg.Worker]
+	if w == nil {
+		return
+	}
+	if msg.Err == nil && msg.Reply.HasClock {
+		w.observe(msg.Sent, m.now, msg.Reply.Clock)
+	}
+	if msg.Err == nil && msg.Reply.Refusal == sched.OrderFenced {
+		m.giveUp("worker " + string(msg.Worker) + " has seen a newer term")
+		return
+	}
+	r := w.runs[msg.Run]
+	if r == nil {
+		return
+	}
+	r.pace.inCall = false
+	switch {
+	case msg.Err == nil && msg.Reply.Refusal == sched.OrderAccepted:
+		r.pace.have = msg.Percent
+	case msg.Err != nil && !errors.Is(msg.Err, sched.ErrUnavailable):
+		// It may have been carried out, or may be later.
+		r.pace.have = -1
+		m.lostContact(w, msg.Err)
+	case msg.Err != nil:
+		m.lostContact(w, msg.Err)
+	}
+}
+
+// moveSlowed stops runs that fill and are slowed for long where another worker
+// would let them work at full pace. They resume there from their checkpoint.
+func (m *Machine) moveSlowed() {
+	left := movesPerTick
+	for _, w := range m.order {
+		for _, r := range w.fillRuns {
+			if left == 0 {
+				return
+			}
+			low := r.pace.lowSince
+			if r.state != runRunning || low.IsZero() || m.now.Sub(low) < moveAfter || !m.worthMoving(r) {
+				continue
+			}
+			q := m.fleet.Queues[r.task.job().queue]
+			to := m.choose(r.task, q)
+			if to == nil || to == w || m.addedHarm(r.task, to) > harmless {
+				continue
+			}
+			left--
+			m.stop(r, "slowed for the sake of tasks that serve")
+		}
+	}
+}
+
+// worthMoving reports whether a stop loses little of a run's work.
+func (m *Machine) worthMoving(r *run) bool {
+	if r.task.step.spec.Gang {
+		return false
+	}
+	return r.task.step.spec.Checkpoint || r.percent < movableBelow
+}
+
+// movableBelow is the progress, in percent, below which a run without a
+// checkpoint is moved rather than slowed.
+const movableBelow = 25
+
+// addedHarm returns by how much the tasks that serve on a worker would miss
+// their goal because of a task that fills.
+func (m *Machine) addedHarm(t *task, w *worker) float64 {
+	s := t.step.spec
+	share := []fillShareOf{{s.Image, float64(s.Resources.CPU) / max(float64(w.member.Capacity.CPU), 1)}}
+	sum := 0.0
+	for _, image := range w.images() {
+		h, known := m.disturb.harmOf(image, s.Image)
+		if part := h * share[0].share; part >= harmless {
+			sum += max(m.expectedTail(w, image, share)-tailGoal, 0)
+		} else if !known {
+			sum += unknownHarm
+		}
+	}
+	return sum
+}
+
+// unknownHarm is what an image is taken to do to one that it was not seen
+// beside, so that known neighbours come first.
+const unknownHarm = 0.02
--- /dev/null
+++ b/pkg/sched/flow/place.go
@@ -0,0 +1,227 @@
+package flow
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mangoslip/mangoslip/pkg/sched"
+)
+
+const (
+	// fillShare is the part of its processors that a filling task must find
+	// unused on a worker. Where it finds less, it is better off waiting.
+	fillShare = 0.8
+	// fillPatience is how long a filling task waits for such a worker.
+	fillPatience = 2 * time.Second
+)
+
+// choose returns the worker on which a task starts, or nil.
+func (m *Machine) choose(t *task, q sched.Queue) *worker {
+	var best *worker
+	bestScore := 0.0
+	for _, w := range m.order {
+		if !m.permitted(t, w, q) {
+			continue
+		}
+		score, ok := m.score(t, w)
+		if ok && (best == nil || score > bestScore) {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// permitted reports whether a task may run on a worker and fits.
+func (m *Machine) permitted(t *task, w *worker, q sched.Queue) bool {
+	s := t.step.spec
+	if !m.usable(w) || w.member.Service != q.Service || !s.Need().Fits(w.free()) {
+		return false
+	}
+	if s.Requires != "" && !slices.Contains(w.member.Labels, s.Requires) {
+		return false
+	}
+	if s.AntiAffinity > 0 && t.step.placedOn[w] >= s.AntiAffinity {
+		return false
+	}
+	return true
+}
+
+// score rates a worker for a task; higher is better. It reports false if the
+// task should rather wait.
+func (m *Machine) score(t *task, w *worker) (float64, bool) {
+	s := t.step.spec
+	waited := m.now.Sub(t.queuedAt)
+	score := -m.penalty(t, w)
+	if s.Affinity != "" && w.member.Rack() != s.Affinity {
+		// Away from its data the task takes longer by a known factor. Waiting
+		// is better until the time lost equals what the distance costs.
+		if waited < time.Duration((m.far-1)*float64(m.duration(t.step))) && m.rackServes(s.Affinity) {
+			return 0, false
+		}
+		score -= farPenalty
+	}
+	if s.Fills {
+		return m.scoreFill(t, w, score)
+	}
+	capacity := max(float64(w.member.Capacity.CPU), 1)
+	left := float64(w.free().CPU - s.Need().CPU)
+	if s.Lasting && left < m.reserve*capacity && waited < reservePatience {
+		return 0, false
+	}
+	memory := float64(w.free().Memory-s.Need().Memory) / float64(max(w.member.Capacity.Memory, 1))
+	score += left/capacity + memoryWeight*memory
+	if s.Serves() {
+		score += m.scoreServe(t, w)
+	}
+	return score, true
+}
+
+// scoreServe rates the neighbours of a task that serves. Tasks of one image
+// are kept together: what disturbs one image often leaves another alone, so
+// that every image that fills finds workers on which it does no harm.
+func (m *Machine) scoreServe(t *task, w *worker) float64 {
+	image := t.step.spec.Image
+	score := 0.0
+	for _, other := range w.images() {
+		if other == image {
+			score += sameImage
+		} else {
+			score -= otherImage
+		}
+	}
+	return score - max(m.expectedTail(w, image, nil)-tailGoal, 0)
+}
+
+const (
+	// farPenalty outweighs any difference in room.
+	farPenalty = 10
+	// memoryWeight is the weight of free memory beside free processors.
+	memoryWeight = 0.2
+	// reservePatience bounds how long the reserve keeps a lasting task waiting.
+	reservePatience = 1500 * time.Millisecond
+	// sameImage and otherImage weigh the images of the neighbours of a task
+	// that serves; they outweigh differences in room.
+	sameImage  = 1.5
+	otherImage = 1.0
+	// harmWeight weighs what a task that fills takes from its neighbours.
+	harmWeight = 4
+	// harmPatience is how long a task that fills waits for a worker where it
+	// does no harm.
+	harmPatience = time.Second
+)
+
+// scoreFill rates a worker for a task that uses what others leave.
+func (m *Machine) scoreFill(t *task, w *worker, score float64) (float64, bool) {
+	s := t.step.spec
+	capacity := float64(w.member.Capacity.CPU)
+	need := float64(s.Resources.CPU)
+	left := capacity - w.busy
+	if left < fillShare*need && m.now.Sub(t.queuedAt) < fillPatience {
+		return 0, false
+	}
+	harm := m.addedHarm(t, w)
+	if harm > harmless*float64(len(w.images())) && m.now.Sub(t.queuedAt) < harmPatience {
+		return 0, false
+	}
+	return score + (left-need)/max(capacity, 1) - harmWeight*harm, true
+}
+
+// rackServes reports whether a rack has a usable worker.
+func (m *Machine) rackServes(rack string) bool {
+	for _, w := range m.order {
+		if w.member.Rack() == rack && m.usable(w) {
+			return true
+		}
+	}
+	return false
+}
+
+// chooseGang returns a worker for each task of a gang, or nil. A gang that
+// wants one rack takes several only if no rack has room.
+func (m *Machine) chooseGang(s *step, q sched.Queue) []*worker {
+	if s.spec.SameRack {
+		for _, rack := range m.racks() {
+			if chosen := m.fitGang(s, q, rack); chosen != nil {
+				return chosen
+			}
+		}
+		if m.now.Sub(s.ready) < time.Duration((m.far-1)*float64(m.duration(s))) && m.gangFitsEmpty(s, q) {
+			return nil
+		}
+	}
+	return m.fitGang(s, q, "")
+}
+
+// gangFitsEmpty reports whether an empty rack would hold the gang.
+func (m *Machine) gangFitsEmpty(s *step, q sched.Queue) bool {
+	room := map[string]int{}
+	for _, w := range m.order {
+		if !m.usable(w) || w.member.Service != q.Service {
+			continue
+		}
+		n := 0
+		for r := s.spec.Need(); r.Fits(w.member.Capacity) && n < s.spec.Count; r = r.Add(s.spec.Need()) {
+			n++
+		}
+		room[w.member.Rack()] += n
+	}
+	for _, n := range room {
+		if n >= s.spec.Count {
+			return true
+		}
+	}
+	return false
+}
+
+// fitGang places a gang within a rack, or anywhere if rack is empty.
+func (m *Machine) fitGang(s *step, q sched.Queue, rack string) []*worker {
+	chosen := make([]*worker, len(s.tasks))
+	taken := map[*worker]sched.Resources{}
+	count := map[*worker]int{}
+	need := s.spec.Need()
+	for i, t := range s.tasks {
+		if t.phase != phaseQueued {
+			continue
+		}
+		var best *worker
+		var bestFree sched.MilliCPU
+		for _, w := range m.order {
+			if rack != "" && w.member.Rack() != rack || !m.permitted(t, w, q) {
+				continue
+			}
+			if s.spec.AntiAffinity > 0 && t.step.placedOn[w]+count[w] >= s.spec.AntiAffinity {
+				continue
+			}
+			free := w.free().Sub(taken[w])
+			if need.Fits(free) && (best == nil || free.CPU > bestFree) {
+				best, bestFree = w, free.CPU
+			}
+		}
+		if best == nil {
+			return nil
+		}
+		chosen[i] = best
+		taken[best] = taken[best].Add(need)
+		count[best]++
+	}
+	return chosen
+}
+
+// racks returns the racks of the workers, the one with the most free room
+// first.
+func (m *Machine) racks() []string {
+	free := map[string]sched.MilliCPU{}
+	var names []string
+	for _, w := range m.order {
+		if !m.usable(w) {
+			continue
+		}
+		r := w.member.Rack()
+		if _, ok := free[r]; !ok {
+			names = append(names, r)
+		}
+		free[r] += w.free().CPU
+	}
+	slices.SortStableFunc(names, func(a, b string) int { return int(free[b] - free[a]) })
+	return names
+}
--- /dev/null
+++ b/pkg/sched/flow/preempt.go
@@ -0,0 +1,151 @@
+package flow
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mangoslip/mangoslip/pkg/sched"
+)
+
+const (
+	// preemptAfter is how long a task waits before it takes room from queues
+	// of lower priority.
+	preemptAfter = 150 * time.Millisecond
+	// preemptsPerPass bounds the workers on which one pass stops runs.
+	preemptsPerPass = 8
+)
+
+// preempt makes room for steps that found none by stopping runs of queues with
+// a lower priority, those first that lose the least work.
+func (p *pass) preempt() {
+	if len(p.short) == 0 {
+		return
+	}
+	soon := map[*worker]sched.Resources{}
+	for _, w := range p.m.order {
+		soon[w] = w.soonFree()
+	}
+	left := preemptsPerPass
+	for _, s := range p.short {
+		if left == 0 {
+			return
+		}
+		if s.spec.Gang || p.m.now.Sub(s.ready) < preemptAfter {
+			continue
+		}
+		left = p.makeRoom(s, soon, left)
+	}
+}
+
+// soonFree returns the room of a worker once what is being stopped has ended.
+func (w *worker) soonFree() sched.Resources {
+	free := w.free()
+	for _, r := range w.runs {
+		if r.state == runStopping {
+			free = free.Add(r.need)
+		}
+	}
+	return free
+}
+
+// makeRoom stops runs so that the tasks of a step that wait find room, and
+// returns how many more workers the pass may take room from.
+func (p *pass) makeRoom(s *step, soon map[*worker]sched.Resources, left int) int {
+	m := p.m
+	q := m.fleet.Queues[s.occ.job.queue]
+	need := s.spec.Need()
+	for _, t := range s.tasks {
+		if t.phase != phaseQueued || left == 0 {
+			continue
+		}
+		if fitsSoon(m, t, q, need, soon) {
+			continue
+		}
+		w, victims := m.cheapest(t, q, soon)
+		if w == nil {
+			return left
+		}
+		for _, r := range victims {
+			soon[w] = soon[w].Add(r.need)
+			m.stop(r, "preempted by "+string(q.Name))
+		}
+		soon[w] = soon[w].Sub(need)
+		left--
+	}
+	return left
+}
+
+// fitsSoon takes room for a task that becomes free anyway.
+func fitsSoon(m *Machine, t *task, q sched.Queue, need sched.Resources, soon map[*worker]sched.Resources) bool {
+	for _, w := range m.order {
+		if m.acceptable(t, w, q) && need.Fits(soon[w]) {
+			soon[w] = soon[w].Sub(need)
+			return true
+		}
+	}
+	return false
+}
+
+// acceptable reports whether a task may run on a worker, room aside.
+func (m *Machine) acceptable(t *task, w *worker, q sched.Queue) bool {
+	s := t.step.spec
+	return m.usable(w) && w.member.Service == q.Service &&
+		(s.Requires == "" || slices.Contains(w.member.Labels, s.Requires)) &&
+		(s.AntiAffinity == 0 || t.step.placedOn[w] < s.AntiAffinity)
+}
+
+// cheapest returns the worker on which room for a task costs the least work,
+// with the runs to stop.
+func (m *Machine) cheapest(t *task, q sched.Queue, soon map[*worker]sched.Resources) (*worker, []*run) {
+	var best *worker
+	var victims []*run
+	bestCost := time.Duration(0)
+	for _, w := range m.order {
+		if !m.acceptable(t, w, q) {
+			continue
+		}
+		runs, cost, ok := m.victims(t, w, q, soon[w])
+		if ok && (best == nil || cost < bestCost) {
+			best, victims, bestCost = w, runs, cost
+		}
+	}
+	return best, victims
+}
+
+// victims returns the runs of a worker to stop so that a task fits, and the
+// work that is lost.
+func (m *Machine) victims(t *task, w *worker, q sched.Queue, free sched.Resources) ([]*run, time.Duration, bool) {
+	var lower []*run
+	total := free
+	for _, r := range w.sorted() {
+		rq := m.fleet.Queues[r.task.job().queue]
+		if rq.Priority > q.Priority && r.state == runRunning && r.task.step.spec.MayMiss == 0 && !r.task.step.spec.Gang {
+			lower = append(lower, r)
+			total = total.Add(r.need)
+		}
+	}
+	if len(lower) == 0 || !t.step.spec.Need().Fits(total) {
+		return nil, 0, false
+	}
+	slices.SortStableFunc(lower, func(a, b *run) int { return int(m.unsaved(a) - m.unsaved(b)) })
+	var out []*run
+	cost := time.Duration(0)
+	need := t.step.spec.Need()
+	for _, r := range lower {
+		if need.Fits(free) {
+			break
+		}
+		free = free.Add(r.need)
+		cost += m.unsaved(r)
+		out = append(out, r)
+	}
+	return out, cost, need.Fits(free) && len(out) > 0
+}
+
+// unsaved returns the work of a run that a stop would lose.
+func (m *Machine) unsaved(r *run) time.Duration {
+	if r.task.step.spec.Checkpoint {
+		return m.resume
+	}
+	return m.now.Sub(r.first)
+}
--- /dev/null
+++ b/pkg/sched/flow/queries.go
@@ -0,0 +1,64 @@
+package flow
+
+import (
+	"github.com/mangoslip/mangoslip/pkg/sched"
+)
+
+// State returns the state of a job as callers may see it: a final state only
+// once it is durable.
+func (m *Machine) State(id sched.JobID) (sched.JobState, sched.QueueName, bool) {
+	j := m.jobs[id]
+	if j == nil {
+		return 0, "", false
+	}
+	switch {
+	case j.state == sched.JobCancelled:
+		return j.state, j.queue, true // The cancellation itself is durable.
+	case j.durable.Final():
+		return j.durable, j.queue, true
+	case j.started:
+		return sched.JobRunning, j.queue, true
+	default:
+		return sched.JobQueued, j.queue, true
+	}
+}
+
+// Waiting returns the number of a queue's jobs of which no task has started.
+func (m *Machine) Waiting(q sched.QueueName) int {
+	n := 0
+	for _, j := range m.live {
+		if j.queue == q && !j.started {
+			n++
+		}
+	}
+	return n
+}
+
+// Totals sums up the machine for metrics and status.
+type Totals struct {
+	Jobs, Live, Workers, Runs, Queued int
+	Undurable                         int
+	Recovering                        bool
+}
+
+// Totals returns the sums.
+func (m *Machine) Totals() Totals {
+	t := Totals{
+		Jobs: len(m.jobs), Live: len(m.live), Workers: len(m.order),
+		Undurable: len(m.commits.changed), Recovering: m.recovery.active,
+	}
+	for _, w := range m.order {
+		t.Runs += len(w.runs)
+	}
+	for _, j := range m.live {
+		for _, o := range j.occurrences {
+			if o == nil {
+				continue
+			}
+			for _, s := range o.steps {
+				t.Queued += s.queued
+			}
+		}
+	}
+	return t
+}
--- /dev/null
+++ b/pkg/sched/flow/run.go
@@ -0,0 +1,336 @@
+package flow
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mangoslip/mangoslip/pkg/sched"
+)
+
+// runState is where a run stands.
+type runState uint8
+
+const (
+	// runStarting: the start has no definite answer yet.
+	runStarting runState = iota
+	// runRunning: the worker has the run.
+	runRunning
+	// runStopping: a stop was ordered; the end is not known yet.
+	runStopping
+)
+
+// run is one start of a task on one worker. It takes room until it has surely
+// ended.
+type run struct {
+	task   *task
+	number uint64
+	worker *worker
+	state  runState
+	need   sched.Resources
+
+	// first and sent are when the start was sent first and last.
+	first, sent time.Time
+	tries       int
+	inCall      bool
+	// known is when a definite answer said that the worker has the run; zero
+	// if there is none.
+	known time.Time
+	// stopSent and stopKnown are the same of the last stop.
+	stopSent, stopKnown time.Time
+	stopInCall          bool
+	why                 string
+
+	saved string
+	// base is what was saved when the run started.
+	base    string
+	percent int
+	// progressed is when percent or saved last changed.
+	progressed time.Time
+	reported   time.Time
+	load       float64
+	pace       pace
+}
+
+func (r *run) id() sched.Run { return sched.Run{Task: r.task.id(), Number: r.number} }
+
+// serves reports whether the run has users of its own.
+func (r *run) serves() bool { return r.task.step.spec.Serves() }
+
+// fills reports whether the run uses what others leave.
+func (r *run) fills() bool { return r.task.step.spec.Fills }
+
+// runStride separates the run numbers of terms.
+const runStride = 1 << 20
+
+// nextNumber returns a run number above every earlier one of the task.
+func (m *Machine) nextNumber(t *task) uint64 {
+	return max(t.number, (m.term-1)*runStride) + 1
+}
+
+// begin gives a task a run on a worker and orders the start.
+func (m *Machine) begin(t *task, w *worker, number uint64) *run {
+	m.dequeue(t, phaseActive)
+	t.number = max(t.number, number)
+	r := &run{
+		task: t, number: number, worker: w, need: t.step.spec.Need(),
+		first: m.now, base: t.saved, progressed: m.now,
+	}
+	r.pace.init()
+	m.attach(r)
+	m.sendStart(r)
+	t.job().started = true
+	return r
+}
+
+// attach enters a run at its task and its worker.
+func (m *Machine) attach(r *run) {
+	t, w := r.task, r.worker
+	t.runs = append(t.runs, r)
+	w.runs[r.id()] = r
+	w.used = w.used.Add(r.need)
+	if t.step.placedOn == nil {
+		t.step.placedOn = map[*worker]int{}
+	}
+	t.step.placedOn[w]++
+	w.count(r, 1)
+}
+
+// detach removes a run that has surely ended.
+func (m *Machine) detach(r *run) {
+	t, w := r.task, r.worker
+	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
+	delete(w.runs, r.id())
+	w.used = w.used.Sub(r.need)
+	if t.step.placedOn[w]--; t.step.placedOn[w] <= 0 {
+		delete(t.step.placedOn, w)
+	}
+	w.count(r, -1)
+	m.stale = true
+}
+
+// sendStart sends the start of a run, or sends it again.
+func (m *Machine) sendStart(r *run) {
+	w := r.worker
+	r.sent, r.inCall = m.now, true
+	r.tries++
+	order := sched.StartOrder{
+		Run: r.id(), Text: r.task.job().spec.Text, Deadline: w.extend(m.now, m.lease),
+		Fence: m.term, Saved: r.base,
+	}
+	m.note("start ordered", "id", r.task.job().spec.ID, "task", r.task.name(), "run", r.number, "worker", w.name(),
+		"try", r.tries, "waited", m.now.Sub(r.task.queuedAt), "free", w.free(), "contact", w.age(m.now),
+		"saved", r.base)
+	m.emit(StartCmd{Member: w.member, Order: order})
+}
+
+// startTries bounds how often a start without an answer is sent again before
+// the run is stopped.
+const startTries = 2
+
+// started takes in the answer to a start.
+func (m *Machine) started(msg StartResultMsg) {
+	w := m.workers[msg.Worker]
+	if w == nil {
+		return
+	}
+	r := w.runs[msg.Run]
+	if msg.Err == nil && msg.Reply.HasClock {
+		w.observe(msg.Sent, m.now, msg.Reply.Clock)
+	}
+	if msg.Err == nil && msg.Reply.Refusal == sched.OrderFenced {
+		m.giveUp("worker " + string(msg.Worker) + " has seen a newer term")
+		return
+	}
+	if r == nil {
+		return
+	}
+	r.inCall = false
+	switch {
+	case msg.Err == nil && msg.Reply.Refusal == sched.OrderAccepted:
+		m.accepted(r)
+	case msg.Err == nil:
+		m.refused(r, msg.Reply.Refusal)
+	case notCarriedOut(msg.Err):
+		m.startUnsent(r, msg.Err)
+	default:
+		m.startLost(r, msg.Err)
+	}
+}
+
+// accepted notes that the worker has the run.
+func (m *Machine) accepted(r *run) {
+	r.worker.contactAt = m.now
+	r.known = m.now
+	if r.state == runStarting {
+		r.state = runRunning
+	}
+	m.tend(r.worker)
+}
+
+// refused handles a definite refusal. If an earlier copy of the start got no
+// answer, that copy may still be carried out, so the run is stopped first.
+func (m *Machine) refused(r *run, why sched.OrderRefusal) {
+	w := r.worker
+	m.note("start refused", "id", r.task.job().spec.ID, "task", r.task.name(), "run", r.number, "worker", w.name(),
+		"reason", why, "try", r.tries, "free", w.free())
+	switch why {
+	case sched.OrderUnhealthy:
+		w.distrust(m.now, "unhealthy")
+	case sched.OrderNoRoom:
+		w.fullUntil = m.now.Add(fullPause)
+	case sched.OrderOtherLife:
+		w.replaced = true
+	case sched.OrderOld:
+		if r.tries > 1 {
+			// An earlier copy was carried out and has ended; the end is listed.
+			r.known = m.now
+			m.tend(w)
+			return
+		}
+	}
+	if r.tries > 1 {
+		m.stop(r, "start refused after a lost answer")
+		return
+	}
+	m.close(r, sched.EndGone, "")
+}
+
+// fullPause is how long a worker that refused for want of room gets no start.
+const fullPause = 200 * time.Millisecond
+
+// startUnsent handles a start that was certainly not carried out.
+func (m *Machine) startUnsent(r *run, err error) {
+	m.note("start not sent", "id", r.task.job().spec.ID, "task", r.task.name(), "run", r.number,
+		"worker", r.worker.name(), "try", r.tries, "error", err)
+	m.lostContact(r.worker, err)
+	if r.tries > 1 {
+		m.stop(r, "start not sent after a lost answer")
+		return
+	}
+	m.close(r, sched.EndGone, "")
+}
+
+// startLost handles a start that may have been carried out, or may be later.
+// The same run is ordered again; the worker takes it only once.
+func (m *Machine) startLost(r *run, err error) {
+	m.note("start has no answer", "id", r.task.job().spec.ID, "task", r.task.name(), "run", r.number,
+		"worker", r.worker.name(), "try", r.tries, "error", err)
+	r.worker.suspect(m.now)
+	if r.state != runStarting {
+		return
+	}
+	if r.tries < startTries {
+		m.sendStart(r)
+		return
+	}
+	m.stop(r, "start has no answer")
+}
+
+// stop orders the end of a run.
+func (m *Machine) stop(r *run, why string) {
+	if r.state == runStopping {
+		return
+	}
+	r.state, r.why = runStopping, why
+	m.note("stop ordered", "id", r.task.job().spec.ID, "task", r.task.name(), "run", r.number,
+		"worker", r.worker.name(), "cause", why, "percent", r.percent)
+	m.sendStop(r)
+}
+
+func (m *Machine) sendStop(r *run) {
+	r.stopSent, r.stopInCall = m.now, true
+	m.emit(StopCmd{Member: r.worker.member, Order: sched.StopOrder{Run: r.id(), Fence: m.term}})
+}
+
+// stopped takes in the answer to a stop.
+func (m *Machine) stopped(msg StopResultMsg) {
+	w := m.workers[msg.Worker]
+	if w == nil {
+		return
+	}
+	if msg.Err == nil && msg.Reply.HasClock {
+		w.observe(msg.Sent, m.now, msg.Reply.Clock)
+	}
+	if msg.Err == nil && msg.Reply.Refusal == sched.OrderFenced {
+		m.giveUp("worker " + string(msg.Worker) + " has seen a newer term")
+		return
+	}
+	r := w.runs[msg.Run]
+	if r == nil {
+		return
+	}
+	r.stopInCall = false
+	switch {
+	case msg.Err != nil:
+		m.lostContact(w, msg.Err)
+	case msg.Reply.Refusal == sched.OrderOtherLife:
+		w.replaced = true
+	default:
+		w.contactAt = m.now
+		r.stopKnown = m.now
+	}
+	m.tend(w)
+}
+
+// stopOthers stops the copies of a task that has ended.
+func (m *Machine) stopOthers(t *task) {
+	for _, r := range t.runs {
+		m.stop(r, "another copy succeeded")
+	}
+}
+
+// close ends a run: it holds no room and cannot be carried out any more.
+func (m *Machine) close(r *run, how sched.EndKind, saved string) {
+	t, w := r.task, r.worker
+	m.note("run ended", "id", t.job().spec.ID, "task", t.name(), "run", r.number, "worker", w.name(), "how", how,
+		"cause", r.why, "took", m.now.Sub(r.first), "percent", r.percent, "contact", w.age(m.now))
+	m.detach(r)
+	m.learn(r, how)
+	if saved == "" {
+		saved = r.saved
+	}
+	m.taskEnded(t, w, r.number, how, saved)
+}
+
+// taskEnded applies the end of a run to its task. The run may have been one of
+// an earlier leader.
+func (m *Machine) taskEnded(t *task, w *worker, number uint64, how sched.EndKind, saved string) {
+	t.number = max(t.number, number)
+	if saved != "" && t.step.spec.Checkpoint {
+		t.saved = saved
+	}
+	j := t.job()
+	if t.phase == phaseDone || j.state.Final() {
+		return
+	}
+	switch how {
+	case sched.EndDone:
+		if !t.step.spec.Lasting {
+			m.taskDone(t)
+			return
+		}
+	case sched.EndFailed:
+		if m.taskFailed(t, w, number) {
+			return
+		}
+	}
+	if len(t.runs) == 0 && t.phase == phaseActive {
+		m.enqueue(t)
+	}
+}
+
+// taskFailed counts a failure once and reports whether it ended the job.
+func (m *Machine) taskFailed(t *task, w *worker, number uint64) bool {
+	if t.step.spec.Lasting || slices.Contains(t.failed, number) {
+		return false
+	}
+	t.failed = append(t.failed, number)
+	t.avoid = append(t.avoid, w.name())
+	m.touch(t.job())
+	limit := m.fleet.Queues[t.job().queue].MaxAttempts
+	if limit == 0 || len(t.failed) < limit {
+		return false
+	}
+	m.endJob(t.job(), sched.JobFailed, "task "+taskName(t.id())+" failed as often as its queue permits")
+	return true
+}
--- /dev/null
+++ b/pkg/sched/flow/schedule.go
@@ -0,0 +1,245 @@
+package flow
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mangoslip/mangoslip/pkg/sched"
+)
+
+const (
+	// passGap is the shortest time between two passes over the waiting tasks.
+	passGap = 4 * time.Millisecond
+	// startsPerPass bounds the starts that one pass orders.
+	startsPerPass = 64
+)
+
+// schedule places waiting tasks, the most urgent first.
+func (m *Machine) schedule() {
+	if !m.stale || !m.mayOrder || m.now.Sub(m.lastPass) < passGap {
+		return
+	}
+	m.stale, m.lastPass = false, m.now
+	p := pass{m: m, failed: map[failure]sched.Resources{}}
+	for _, s := range m.waitingSteps() {
+		p.step(s)
+		if p.starts >= startsPerPass {
+			m.stale = true
+			return
+		}
+	}
+	p.preempt()
+}
+
+// waitingSteps returns the steps with tasks to place in the order of their
+// urgency.
+func (m *Machine) waitingSteps() []*step {
+	var out []*step
+	for _, j := range m.live {
+		for _, o := range j.occurrences {
+			if o == nil {
+				continue
+			}
+			for _, s := range o.steps {
+				if s.queued > 0 {
+					out = append(out, s)
+				}
+			}
+		}
+	}
+	keys := make(map[*step]urgency, len(out))
+	for _, s := range out {
+		keys[s] = m.urgency(s)
+	}
+	slices.SortStableFunc(out, func(a, b *step) int { return keys[a].compare(keys[b]) })
+	return out
+}
+
+// urgency orders steps: the queue's priority first, then whether the job can
+// still earn in full, then the time by which the step has to start.
+type urgency struct {
+	priority int
+	late     int
+	by       time.Time
+}
+
+func (u urgency) compare(o urgency) int {
+	if u.priority != o.priority {
+		return u.priority - o.priority
+	}
+	if u.late != o.late {
+		return u.late - o.late
+	}
+	return u.by.Compare(o.by)
+}
+
+// urgency says how urgent a step is. A job that has missed its objective comes
+// after those that can still meet it, and one that is beyond the time in which
+// it earns anything comes last.
+func (m *Machine) urgency(s *step) urgency {
+	q := m.fleet.Queues[s.occ.job.queue]
+	u := urgency{priority: q.Priority}
+	if s.spec.Lasting {
+		u.by = s.ready
+		return u
+	}
+	chain := m.chain(s.occ)
+	stretch := q.Stretch
+	if stretch == 0 {
+		stretch = 1
+	}
+	objective := time.Duration(stretch*float64(chain)) + q.Target
+	left := m.chainFrom(s.occ, s.index)
+	u.by = s.occ.due.Add(objective - left)
+	switch {
+	case m.now.After(s.occ.due.Add(lateFactor*objective - left)):
+		u.late = 2
+	case m.now.After(u.by):
+		u.late = 1
+	}
+	return u
+}
+
+// lateFactor is how many times its objective a job may take and still earn.
+const lateFactor = 3
+
+// chain returns the expected length of the longest chain of an occurrence.
+func (m *Machine) chain(o *occurrence) time.Duration {
+	longest := time.Duration(0)
+	for i := range o.steps {
+		if len(o.steps[i].spec.After) == 0 {
+			longest = max(longest, m.chainFrom(o, i))
+		}
+	}
+	return longest
+}
+
+// chainFrom returns the expected length of the longest chain that begins with
+// a step.
+func (m *Machine) chainFrom(o *occurrence, from int) time.Duration {
+	longest := make([]time.Duration, len(o.steps))
+	for i := len(o.steps) - 1; i >= from; i-- {
+		s := o.steps[i]
+		longest[i] = m.duration(s)
+		for k := i + 1; k < len(o.steps); k++ {
+			if slices.Contains(o.steps[k].spec.After, i) {
+				longest[i] = max(longest[i], m.duration(s)+longest[k])
+			}
+		}
+	}
+	return longest[from]
+}
+
+// pass is one walk over the waiting tasks.
+type pass struct {
+	m      *Machine
+	starts int
+	// failed holds the smallest needs that found no worker, by what else was
+	// asked for.
+	failed map[failure]sched.Resources
+	// short holds the steps that found no room, in order.
+	short []*step
+}
+
+// failure names what a need that found no worker asked for beside room.
+type failure struct {
+	service  sched.ServiceName
+	requires string
+	fills    bool
+	image    string
+	lasting  bool
+}
+
+// step places the waiting tasks of a step.
+func (p *pass) step(s *step) {
+	q, ok := p.m.fleet.Queues[s.occ.job.queue]
+	if !ok {
+		p.m.block(s, "queue is not configured")
+		return
+	}
+	if s.spec.Gang {
+		p.gang(s, q)
+		return
+	}
+	f := failure{service: q.Service, requires: s.spec.Requires, fills: s.spec.Fills, lasting: s.spec.Lasting}
+	if s.spec.Fills || s.spec.Serves() {
+		f.image = s.spec.Image
+	}
+	need := s.spec.Need()
+	if low, tried := p.failed[f]; tried && low.Fits(need) {
+		p.m.block(s, "no room")
+		p.short = append(p.short, s)
+		return
+	}
+	for _, t := range s.tasks {
+		if t.phase != phaseQueued || p.starts >= startsPerPass {
+			continue
+		}
+		if t.doubted && p.m.recovery.active {
+			p.m.block(s, "an earlier run may still be there")
+			continue
+		}
+		w := p.m.choose(t, q)
+		if w == nil {
+			p.m.block(s, "no room")
+			p.short = append(p.short, s)
+			if s.spec.AntiAffinity == 0 && s.spec.Affinity == "" && len(t.avoid) == 0 {
+				p.failed[f] = need
+			}
+			return
+		}
+		s.blocked = ""
+		p.starts++
+		p.m.begin(t, w, p.m.nextNumber(t))
+	}
+}
+
+// block logs once why a step waits.
+func (m *Machine) block(s *step, why string) {
+	if s.blocked == why {
+		return
+	}
+	s.blocked = why
+	j := s.occ.job
+	m.note("step waits", "id", j.spec.ID, "queue", j.queue, "step", s.index, "queued", s.queued, "reason", why,
+		"need", s.spec.Need(), "age", m.now.Sub(j.accepted))
+}
+
+// gang places all tasks of a gang, or none.
+func (p *pass) gang(s *step, q sched.Queue) {
+	number := uint64(0)
+	for _, t := range s.tasks {
+		if t.phase == phaseDone {
+			continue
+		}
+		if t.phase != phaseQueued || (t.doubted && p.m.recovery.active) {
+			return
+		}
+		number = max(number, p.m.nextNumber(t))
+	}
+	chosen := p.m.chooseGang(s, q)
+	if chosen == nil {
+		p.m.block(s, "no room for the whole gang")
+		p.short = append(p.short, s)
+		return
+	}
+	saved := newestSaved(s)
+	for i, t := range s.tasks {
+		if t.phase != phaseQueued {
+			continue
+		}
+		t.saved = saved
+		p.starts++
+		p.m.begin(t, chosen[i], number)
+	}
+	s.blocked = ""
+}
+
+// newestSaved returns the progress that all members of a gang resume from.
+func newestSaved(s *step) string {
+	newest := ""
+	for _, t := range s.tasks {
+		newest = max(newest, t.saved)
+	}
+	return newest
+}
--- /dev/null
+++ b/pkg/sched/flow/worker.go
@@ -0,0 +1,278 @@
+package flow
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mangoslip/mangoslip/pkg/sched"
+)
+
+// worker is what the machine knows of one worker.
+type worker struct {
+	member sched.Member
+	// listed means that the register shows the worker; unlistedAt is when it
+	// last stopped doing so.
+	listed     bool
+	unlistedAt time.Time
+	// rostered means that the durable roster names the worker.
+	rostered bool
+	// surveyed means that the worker has answered to this term's fence.
+	surveyed bool
+	// replaced means that another life answered at the worker's address.
+	replaced bool
+
+	runs map[sched.Run]*run
+	used sched.Resources
+	// serveRuns and fillRuns are the runs that serve and that fill.
+	serveRuns, fillRuns []*run
+	// busy is the processor time that runs are expected to use, those that
+	// fill included.
+	busy float64
+
+	// clock is the reading of the worker's clock that arrived at clockAt.
+	clock    time.Duration
+	clockAt  time.Time
+	hasClock bool
+	// deadline is the highest deadline that was ever sent.
+	deadline time.Duration
+
+	contactAt time.Time
+	// silentSince is when the first of a row of calls without an answer was
+	// sent.
+	silentSince time.Time
+	suspected   bool
+
+	hold holdCycle
+	// processed is the last end that was taken in, durable the last whose
+	// effect is recorded, confirmed the last that the worker was told of.
+	processed, durable, confirmed uint64
+	pending                       []pendingEnd
+
+	fullUntil time.Time
+	trust     trust
+	// caution is the share of the computed paces that is in force, and
+	// cautionAt when it last changed.
+	caution   float64
+	cautionAt time.Time
+	learnedAt time.Time
+}
+
+// pendingEnd is an end that may be confirmed once a commit is durable.
+type pendingEnd struct {
+	seq uint64
+	// mark is that of the change that has to be durable first.
+	mark uint64
+}
+
+func (w *worker) name() sched.WorkerName { return w.member.Worker }
+
+// free returns the room that no run takes.
+func (w *worker) free() sched.Resources { return w.member.Capacity.Sub(w.used) }
+
+// age returns the time since the worker last answered.
+func (w *worker) age(now time.Time) time.Duration {
+	if w.contactAt.IsZero() {
+		return -1
+	}
+	return now.Sub(w.contactAt)
+}
+
+// count enters a run into the sums of the worker, or takes it out.
+func (w *worker) count(r *run, sign int) {
+	switch {
+	case r.serves():
+		w.serveRuns = enter(w.serveRuns, r, sign)
+		w.busy += float64(sign) * servingUse * float64(r.task.step.spec.Resources.CPU)
+	case r.fills():
+		w.fillRuns = enter(w.fillRuns, r, sign)
+		w.busy += float64(sign) * float64(r.task.step.spec.Resources.CPU)
+	default:
+		w.busy += float64(sign) * float64(r.task.step.spec.Resources.CPU)
+	}
+}
+
+// enter adds a run to a list, or takes it out if sign is negative.
+func enter(list []*run, r *run, sign int) []*run {
+	if sign > 0 {
+		return append(list, r)
+	}
+	return slices.DeleteFunc(list, func(o *run) bool { return o == r })
+}
+
+// servingUse is the share of its processors that a task that serves uses on
+// average; its load swings about it.
+const servingUse = 0.45
+
+// clockDrift bounds how much slower a worker's clock runs, with some margin
+// over the 2% that the platform states.
+const clockDrift = 1.03
+
+// observe takes in a reading of the worker's clock from an answer to a call.
+func (w *worker) observe(sent, now time.Time, clock time.Duration) {
+	_ = sent
+	w.contactAt, w.silentSince, w.suspected = now, time.Time{}, false
+	if w.hasClock && clock < w.earliest(now) {
+		return // An answer that others have overtaken.
+	}
+	w.clock, w.clockAt, w.hasClock = clock, now, true
+}
+
+// earliest returns the lowest reading that the worker's clock can have now.
+func (w *worker) earliest(now time.Time) time.Duration {
+	return w.clock + time.Duration(float64(now.Sub(w.clockAt))/clockDrift)
+}
+
+// extend returns a deadline a lease ahead on the worker's clock.
+func (w *worker) extend(now time.Time, lease time.Duration) time.Duration {
+	d := w.clock + now.Sub(w.clockAt) + lease
+	w.deadline = max(w.deadline, d)
+	return d
+}
+
+// lapsed reports whether everything that was ever ordered has surely ended.
+func (w *worker) lapsed(now time.Time) bool {
+	return w.hasClock && w.earliest(now) > w.deadline
+}
+
+// suspect notes a call without an answer.
+func (w *worker) suspect(now time.Time) {
+	if w.silentSince.IsZero() {
+		w.silentSince = now
+	}
+	w.suspected = true
+}
+
+// silence is how long calls may stay without an answer until the worker's
+// leases are no longer renewed.
+const silence = 700 * time.Millisecond
+
+// silent reports whether the worker has not answered for a while.
+func (w *worker) silent(now time.Time) bool {
+	return !w.silentSince.IsZero() && now.Sub(w.silentSince) > silence
+}
+
+// usable reports whether new runs may be placed on the worker.
+func (m *Machine) usable(w *worker) bool {
+	return w.listed && w.rostered && w.surveyed && w.hasClock && !w.replaced && !w.suspected &&
+		!w.member.Draining && !m.now.Before(w.fullUntil)
+}
+
+// setMembers takes in the register of workers.
+func (m *Machine) setMembers(members []sched.Member) {
+	seen := map[sched.WorkerName]bool{}
+	for _, mb := range members {
+		seen[mb.Worker] = true
+		m.setMember(mb)
+	}
+	for _, w := range m.order {
+		if w.listed && !seen[w.name()] {
+			w.listed, w.unlistedAt = false, m.now
+			m.note("worker left the register", "worker", w.name(), "contact", w.age(m.now), "runs", len(w.runs))
+		}
+	}
+	m.dropWorkers()
+	m.stale = true
+}
+
+func (m *Machine) setMember(mb sched.Member) {
+	w := m.workers[mb.Worker]
+	if w == nil {
+		w = m.addWorker(mb)
+		m.note("worker joined", "worker", mb.Worker, "service", mb.Service, "addr", mb.Addr,
+			"dataCentre", mb.DataCentre, "capacity", mb.Capacity, "labels", mb.Labels, "draining", mb.Draining)
+	}
+	if mb.Born < w.member.Born {
+		return // An older entry of the register.
+	}
+	if !w.listed {
+		w.listed = true
+	}
+	if mb.Born > w.member.Born {
+		m.newLife(w, mb.Born, m.now, "register")
+	}
+	if mb.Draining != w.member.Draining {
+		m.note("worker draining", "worker", mb.Worker, "draining", mb.Draining, "left", mb.DrainLeft, "runs", len(w.runs))
+	}
+	if mb.Addr != w.member.Addr {
+		w.replaced, w.surveyed = false, false
+	}
+	w.member = mb
+	if w.member.Draining {
+		m.drain(w)
+	}
+	m.tend(w)
+}
+
+func (m *Machine) addWorker(mb sched.Member) *worker {
+	w := &worker{member: mb, runs: map[sched.Run]*run{}}
+	m.workers[mb.Worker] = w
+	m.order = append(m.order, w)
+	m.roster.dirty = true
+	return w
+}
+
+// newLife handles a worker that was born again under its name: everything that
+// ran there has ended, and its numbers start anew. Runs whose start has no
+// answer yet may belong to the new life.
+func (m *Machine) newLife(w *worker, born int64, sent time.Time, source string) {
+	m.note("worker born again", "worker", w.name(), "born", born, "before", w.member.Born, "source", source,
+		"runs", len(w.runs))
+	w.member.Born = born
+	w.processed, w.durable, w.confirmed, w.pending = 0, 0, 0, nil
+	w.hasClock, w.clock, w.deadline, w.surveyed, w.replaced = false, 0, 0, false, false
+	w.trust = trust{}
+	for _, r := range w.sorted() {
+		if !r.known.IsZero() && r.known.Before(sent) {
+			m.close(r, sched.EndGone, "")
+		}
+	}
+}
+
+// dropWorkers forgets workers that left the register and run nothing.
+func (m *Machine) dropWorkers() {
+	keep := m.order[:0]
+	for _, w := range m.order {
+		gone := !w.listed && len(w.runs) == 0 && w.processed == w.confirmed &&
+			m.now.Sub(w.unlistedAt) > 2*m.lease && !m.recovery.waitsFor(w)
+		if gone {
+			delete(m.workers, w.name())
+			m.roster.dirty = true
+			continue
+		}
+		keep = append(keep, w)
+	}
+	clear(m.order[len(keep):])
+	m.order = keep
+}
+
+// drain moves work off a worker that leaves: what lasts at once, and what can
+// resume from its checkpoint if it would not end in time.
+func (m *Machine) drain(w *worker) {
+	for _, r := range w.sorted() {
+		if r.state == runStopping || m.endsBefore(r, w.member.DrainLeft) {
+			continue
+		}
+		if r.task.step.spec.Lasting || r.task.step.spec.Checkpoint {
+			m.stop(r, "worker leaves")
+		}
+	}
+}
+
+// endsBefore reports whether a run is expected to end within a time.
+func (m *Machine) endsBefore(r *run, left time.Duration) bool {
+	if r.task.step.spec.Lasting {
+		return false
+	}
+	return m.remaining(r) < left-m.stopTime
+}
+
+// sorted returns the runs of a worker in a fixed order, so that a machine does
+// the same in every replay.
+func (w *worker) sorted() []*run {
+	out := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		out = append(out, r)
+	}
+	sortRuns(out)
+	return out
+}
