Learn which images disturb which, and keep them apart

Change: a belief for each pair of images, raised by missed targets with blame shared among what filled the worker in the window, lowered slowly by calm time; tasks that serve are kept together by image, so that each image that fills finds workers where it disturbs nobody; slowed runs move there.

--- a/pkg/sched/flow/disturb.go
+++ b/pkg/sched/flow/disturb.go
@@ -1,109 +1,119 @@
 package flow
 
 import (
+	"math"
 	"time"
 )
 
-// disturb learns how much tasks that fill disturb tasks that serve beside
-// them. Which images disturb which differs by pair, so each pair has a figure
-// of its own.
+// disturb learns which images that fill disturb which images that serve.
 //
-// The tail latency of a task that serves, as a share of its target, is taken
-// as a base of its image and a part for each core share that tasks that fill
-// use beside it. The parts follow the reported figures by a normalized least
-// mean squares filter.
-type disturb struct {
-	base  map[string]float64
-	pairs map[imagePair]*pairFigure
-}
+// A pair of images either gets along or does not, but a disturbance comes and
+// goes within seconds, so a low tail says little and a missed target says much.
+// Each pair has a belief, the probability that the two do not get along. If a
+// target is missed, one of the images beside it is to blame, each the more the
+// likelier it was before. Time without a miss lowers the belief slowly.
+type disturb struct{ odds map[imagePair]float64 }
 
 // imagePair names the image of a task that serves and of one that fills.
 type imagePair struct{ serves, fills string }
 
-// pairFigure is what is known of a pair.
-type pairFigure struct {
-	// harm is the part of the target that a whole worker's processors take.
-	harm float64
-	// evidence counts the reports that told of the pair.
-	evidence float64
-}
-
 const (
-	// tailCap bounds a reported tail, as a share of its target: what is beyond
-	// it says no more than that the target is missed by far.
-	tailCap = 4.0
-	// harmRate is the share of an error that one report corrects.
-	harmRate = 0.35
-	// harmFloor keeps corrections small where little fills.
-	harmFloor = 0.003
-	harmMost  = 80.0
-	baseRate  = 0.08
-	baseFirst = 0.45
-	// knownAfter is the evidence from which a pair counts as known.
-	knownAfter = 2.0
+	// priorBelief is the belief for a pair that was never seen.
+	priorBelief = 0.4
+	// beliefMost and beliefLeast bound the beliefs, so that later reports can
+	// still change them.
+	beliefMost  = 0.995
+	beliefLeast = 0.01
+	// calmWeight is by how much the logarithm of the odds falls for a report
+	// of a low tail beside a fill of fullShare of the worker.
+	calmWeight = 0.3
+	fullShare  = 0.1
+	// certain is the belief from which time without a miss counts for less,
+	// by certainWeight.
+	certain       = 0.9
+	certainWeight = 0.1
+	// otherCause is the probability that a target is missed without a task
+	// that fills, and otherCauseFar the same for one that is missed by far.
+	otherCause    = 0.3
+	otherCauseFar = 0.06
+	// badPair is the belief from which two images are kept apart, and goodPair
+	// the one below which they are known to get along.
+	badPair  = 0.6
+	goodPair = 0.15
 )
 
-func (d *disturb) init() {
-	d.base = map[string]float64{}
-	d.pairs = map[imagePair]*pairFigure{}
-}
+func (d *disturb) init() { d.odds = map[imagePair]float64{} }
 
-// baseOf returns the tail of an image that nothing disturbs.
-func (d *disturb) baseOf(image string) float64 {
-	if b, ok := d.base[image]; ok {
-		return b
+// belief returns the probability that two images do not get along.
+func (d *disturb) belief(serves, fills string) float64 {
+	l, ok := d.odds[imagePair{serves, fills}]
+	if !ok {
+		return priorBelief
 	}
-	return baseFirst
+	return 1 / (1 + math.Exp(-l))
 }
 
-// harmOf returns the figure of a pair and whether it is known.
-func (d *disturb) harmOf(serves, fills string) (float64, bool) {
-	p := d.pairs[imagePair{serves, fills}]
-	if p == nil {
-		return 0, false
-	}
-	return p.harm, p.evidence >= knownAfter
+func (d *disturb) set(serves, fills string, p float64) {
+	p = min(max(p, beliefLeast), beliefMost)
+	d.odds[imagePair{serves, fills}] = math.Log(p / (1 - p))
 }
 
-// learn takes in the tail of a task that serves beside the given shares.
-func (d *disturb) learn(image string, tail float64, shares []fillShareOf) {
-	tail = min(tail, tailCap)
-	base := d.baseOf(image)
-	square, sum := 0.0, 0.0
-	expected := base
-	for _, s := range shares {
-		square += s.share * s.share
-		sum += s.share
-		h, _ := d.harmOf(image, s.image)
-		expected += h * s.share
-	}
-	if sum < harmFloor {
-		d.base[image] = base + baseRate*(tail-base)
+// missed takes in that an image missed its target beside others. A target may
+// also be missed for other causes, the less likely the further it is missed.
+func (d *disturb) missed(serves string, tail float64, fills []presence) {
+	none := 1 - otherCause
+	if tail > tailFar {
+		none = 1 - otherCauseFar
+	}
+	for _, f := range fills {
+		none *= 1 - d.belief(serves, f.image)
+	}
+	if none >= 1 {
 		return
 	}
-	step := harmRate * (tail - expected) / (square + harmFloor)
-	for _, s := range shares {
-		k := imagePair{image, s.image}
-		p := d.pairs[k]
-		if p == nil {
-			p = &pairFigure{}
-			d.pairs[k] = p
+	for _, f := range fills {
+		d.set(serves, f.image, d.belief(serves, f.image)/(1-none))
+	}
+}
+
+// calm takes in that an image met its target beside others.
+func (d *disturb) calm(serves string, fills []presence) {
+	for _, f := range fills {
+		p := d.belief(serves, f.image)
+		weight := calmWeight * min(f.share/fullShare, 1)
+		if p > certain {
+			weight *= certainWeight
 		}
-		p.harm = min(max(p.harm+step*s.share, 0), harmMost)
-		p.evidence += s.share / sum
+		d.set(serves, f.image, 1/(1+math.Exp(-(math.Log(p/(1-p))-weight))))
 	}
 }
 
-// fillShareOf is the share of a worker's processors that the tasks of an image
-// that fill use.
-type fillShareOf struct {
+// presence is an image that filled a worker in the window of the figures, with
+// the share of the worker's processors.
+type presence struct {
 	image string
 	share float64
 }
 
-// shares returns the shares that filled a worker in the window of the figures.
-func (w *worker) shares(now time.Time) []fillShareOf {
-	var out []fillShareOf
+// departed is a run that filled a worker until a moment ago.
+type departed struct {
+	image string
+	share float64
+	at    time.Time
+}
+
+// depart notes that a run uses less of a worker by a change of its pace.
+func (w *worker) depart(r *run, percent int, now time.Time) {
+	if percent <= 0 {
+		return
+	}
+	share := float64(r.task.step.spec.Resources.CPU) / max(float64(w.member.Capacity.CPU), 1)
+	w.departed = append(w.departed, departed{r.task.step.spec.Image, share * float64(percent) / fullPace, now})
+}
+
+// present returns what filled a worker in the window of the figures.
+func (w *worker) present(now time.Time) []presence {
+	var out []presence
 	capacity := max(float64(w.member.Capacity.CPU), 1)
 	for _, r := range w.fillRuns {
 		if r.known.IsZero() {
@@ -111,24 +121,39 @@
 		}
 		x := float64(r.task.step.spec.Resources.CPU) / capacity * float64(max(r.pace.have, 0)) / fullPace
 		x *= min(1, float64(now.Sub(r.known))/float64(figureWindow))
-		out = addShare(out, r.task.step.spec.Image, x)
+		out = addPresence(out, r.task.step.spec.Image, x)
+	}
+	keep := w.departed[:0]
+	for _, d := range w.departed {
+		if age := now.Sub(d.at); age < lingers {
+			keep = append(keep, d)
+			out = addPresence(out, d.image, d.share*(1-float64(age)/float64(lingers)))
+		}
 	}
+	w.departed = keep
 	return out
 }
 
-func addShare(list []fillShareOf, image string, x float64) []fillShareOf {
+func addPresence(list []presence, image string, x float64) []presence {
 	for i := range list {
 		if list[i].image == image {
 			list[i].share += x
 			return list
 		}
 	}
-	return append(list, fillShareOf{image, x})
+	return append(list, presence{image, x})
 }
 
-// learnPause is the shortest time between two reports of a worker that are
-// learned from, as their windows overlap.
-const learnPause = 200 * time.Millisecond
+const (
+	// learnPause is the shortest time between two reports of a worker that are
+	// learned from, as their windows overlap.
+	learnPause = 400 * time.Millisecond
+	// lingers is how long a run that ended, or was slowed, still shows in the
+	// figures: their window and the time until they arrive.
+	lingers = 900 * time.Millisecond
+	// leastShare is the share of a worker below which a fill is not blamed.
+	leastShare = 0.01
+)
 
 // learnTails learns from the figures of a worker's report.
 func (m *Machine) learnTails(w *worker) {
@@ -136,10 +161,39 @@
 		return
 	}
 	w.learnedAt = m.now
-	shares := w.shares(m.now)
-	for _, r := range w.serveRuns {
-		if r.atWork() && r.reported.Equal(m.now) {
-			m.disturb.learn(r.task.step.spec.Image, r.tail(), shares)
+	var fills []presence
+	for _, p := range w.present(m.now) {
+		if p.share >= leastShare {
+			fills = append(fills, p)
+		}
+	}
+	if len(fills) == 0 {
+		return
+	}
+	for _, image := range w.images() {
+		worst, any := w.worstOf(image)
+		switch {
+		case !any:
+		case worst > 1:
+			m.blame(w, image, worst, fills)
+		case worst < tailCalm:
+			m.disturb.calm(image, fills)
+		}
+	}
+}
+
+// blame learns from a missed target and logs what is newly believed.
+func (m *Machine) blame(w *worker, image string, worst float64, fills []presence) {
+	before := make([]float64, len(fills))
+	for i, f := range fills {
+		before[i] = m.disturb.belief(image, f.image)
+	}
+	m.disturb.missed(image, worst, fills)
+	for i, f := range fills {
+		after := m.disturb.belief(image, f.image)
+		if before[i] < badPair && after >= badPair {
+			m.note("images do not get along", "serves", image, "fills", f.image, "belief", after, "before", before[i],
+				"worker", w.name(), "tail", worst)
 		}
 	}
 }
@@ -155,34 +209,40 @@
 
 // images returns the images of the tasks that serve on a worker.
 func (w *worker) images() []string {
-	var out []string
+	if w.imagesValid {
+		return w.imageList
+	}
+	w.imageList = w.imageList[:0]
 next:
 	for _, r := range w.serveRuns {
-		for _, i := range out {
+		for _, i := range w.imageList {
 			if i == r.task.step.spec.Image {
 				continue next
 			}
 		}
-		out = append(out, r.task.step.spec.Image)
+		w.imageList = append(w.imageList, r.task.step.spec.Image)
 	}
-	return out
+	w.imagesValid = true
+	return w.imageList
 }
 
-// expectedTail returns the tail of an image on a worker at the paces that are
-// wanted there, with the given shares more.
-func (m *Machine) expectedTail(w *worker, image string, more []fillShareOf) float64 {
-	tail := m.disturb.baseOf(image)
-	capacity := max(float64(w.member.Capacity.CPU), 1)
-	for _, r := range w.fillRuns {
-		if r.state == runStopping {
-			continue
+// worstOf returns the highest tail of an image on a worker as a share of its
+// target, and whether any task of it is at work.
+func (w *worker) worstOf(image string) (worst float64, any bool) {
+	for _, r := range w.serveRuns {
+		if r.task.step.spec.Image == image && r.atWork() {
+			worst, any = max(worst, r.tail()), true
 		}
-		h, _ := m.disturb.harmOf(image, r.task.step.spec.Image)
-		tail += h * float64(r.task.step.spec.Resources.CPU) / capacity * float64(r.pace.want) / fullPace
 	}
-	for _, s := range more {
-		h, _ := m.disturb.harmOf(image, s.image)
-		tail += h * s.share
+	return worst, any
+}
+
+// risk returns the belief that an image that fills disturbs one that serves on
+// a worker: the highest of the pairs.
+func (m *Machine) risk(w *worker, fills string) float64 {
+	worst := 0.0
+	for _, image := range w.images() {
+		worst = max(worst, m.disturb.belief(image, fills))
 	}
-	return tail
+	return worst
 }
--- a/pkg/sched/flow/pace.go
+++ b/pkg/sched/flow/pace.go
@@ -24,19 +24,20 @@
 	paceGrain = 10
 	// figureWindow is the time that a reported figure covers.
 	figureWindow = 500 * time.Millisecond
-	// tailGoal is the tail, as a share of its target, that paces aim at, and
-	// tailCalm the one below which caution is given up.
-	tailGoal = 0.85
-	tailCalm = 0.8
-	// harmless is a part of a target that is not worth a change of pace.
-	harmless = 0.04
-	// cautionLeast is the least share of the computed pace that caution
-	// leaves before tasks are paused.
-	cautionLeast = 0.1
+	// tailCalm is the tail, as a share of its target, below which caution is
+	// given up.
+	tailCalm = 0.85
+	// riskyPace bounds the pace of a run beside an image that it does not get
+	// along with.
+	riskyPace = 60
+	// cautionLeast is the caution from which every task that fills is slowed,
+	// whatever is believed of it, and cautionStop the one that pauses.
+	cautionLeast = 0.3
+	cautionStop  = 0.1
 	// movePace is the pace below which a run is better off elsewhere, and
 	// moveAfter how long it has to be that low.
-	movePace  = 50
-	moveAfter = 600 * time.Millisecond
+	movePace  = 60
+	moveAfter = 300 * time.Millisecond
 	// movesPerTick bounds the runs that are moved at a time.
 	movesPerTick = 6
 )
@@ -54,9 +55,8 @@
 	return worst
 }
 
-// adjustPace sets the paces of the tasks that fill a worker: as fast as the
-// learned disturbances permit, and slower while a task that serves is seen to
-// miss its target nevertheless.
+// adjustPace slows the tasks that fill while a task that serves beside them
+// misses its target, those first that are believed to be the cause.
 func (m *Machine) adjustPace(w *worker) {
 	if len(w.fillRuns) == 0 {
 		w.caution = 1
@@ -82,51 +82,34 @@
 	switch {
 	case worst > 1 && since >= settle:
 		w.caution /= 2
+		if worst > tailFar {
+			w.caution /= 2
+		}
 		w.cautionAt = m.now
 	case worst < tailCalm && since >= 2*settle && w.caution < 1:
-		w.caution = min(1, max(w.caution, cautionLeast)*2)
+		w.caution = min(1, max(w.caution, cautionStop)*2)
 		w.cautionAt = m.now
 	}
 }
 
+// tailFar is the tail, as a share of its target, that shows a target missed by
+// far.
+const tailFar = 1.5
+
 // paceFor returns the pace of a run beside the tasks that serve.
 func (m *Machine) paceFor(w *worker, r *run) int {
+	risk := m.risk(w, r.task.step.spec.Image)
 	share := 1.0
-	capacity := max(float64(w.member.Capacity.CPU), 1)
-	missed := w.worstTail() > 1 || w.caution < 1
-	for _, image := range w.images() {
-		h, known := m.disturb.harmOf(image, r.task.step.spec.Image)
-		part := h * float64(r.task.step.spec.Resources.CPU) / capacity
-		if part < harmless {
-			if !known && missed {
-				share = min(share, w.caution)
-			}
-			continue
-		}
-		total := m.fullHarm(w, image)
-		allowed := max(tailGoal-m.disturb.baseOf(image), 0)
-		share = min(share, w.caution*allowed/max(total, harmless))
+	if risk >= badPair {
+		share = riskyPace / float64(fullPace)
 	}
-	if w.caution < cautionLeast {
-		share = min(share, w.caution)
+	if risk >= goodPair || w.caution < cautionLeast {
+		share *= w.caution
 	}
-	percent := int(share*fullPace+0.5) / paceGrain * paceGrain
-	return min(max(percent, 0), fullPace)
-}
-
-// fullHarm returns what the tasks that fill a worker would take from the
-// target of an image at full pace.
-func (m *Machine) fullHarm(w *worker, image string) float64 {
-	capacity := max(float64(w.member.Capacity.CPU), 1)
-	sum := 0.0
-	for _, r := range w.fillRuns {
-		h, _ := m.disturb.harmOf(image, r.task.step.spec.Image)
-		part := h * float64(r.task.step.spec.Resources.CPU) / capacity
-		if part >= harmless && r.state != runStopping {
-			sum += part
-		}
+	if share < cautionStop {
+		return 0
 	}
-	return sum
+	return min(max(int(share*fullPace+0.5)/paceGrain*paceGrain, paceGrain), fullPace)
 }
 
 // setPace orders a pace if it differs from the one that is in force.
@@ -174,6 +157,7 @@
 	r.pace.inCall = false
 	switch {
 	case msg.Err == nil && msg.Reply.Refusal == sched.OrderAccepted:
+		w.depart(r, r.pace.have-msg.Percent, m.now)
 		r.pace.have = msg.Percent
 	case msg.Err != nil && !errors.Is(msg.Err, sched.ErrUnavailable):
 		// It may have been carried out, or may be later.
@@ -199,7 +183,7 @@
 			}
 			q := m.fleet.Queues[r.task.job().queue]
 			to := m.choose(r.task, q)
-			if to == nil || to == w || m.addedHarm(r.task, to) > harmless {
+			if to == nil || to == w || m.risk(to, r.task.step.spec.Image) >= goodPair {
 				continue
 			}
 			left--
@@ -219,24 +203,3 @@
 // movableBelow is the progress, in percent, below which a run without a
 // checkpoint is moved rather than slowed.
 const movableBelow = 25
-
-// addedHarm returns by how much the tasks that serve on a worker would miss
-// their goal because of a task that fills.
-func (m *Machine) addedHarm(t *task, w *worker) float64 {
-	s := t.step.spec
-	share := []fillShareOf{{s.Image, float64(s.Resources.CPU) / max(float64(w.member.Capacity.CPU), 1)}}
-	sum := 0.0
-	for _, image := range w.images() {
-		h, known := m.disturb.harmOf(image, s.Image)
-		if part := h * share[0].share; part >= harmless {
-			sum += max(m.expectedTail(w, image, share)-tailGoal, 0)
-		} else if !known {
-			sum += unknownHarm
-		}
-	}
-	return sum
-}
-
-// unknownHarm is what an image is taken to do to one that it was not seen
-// beside, so that known neighbours come first.
-const unknownHarm = 0.02
--- a/pkg/sched/flow/place.go
+++ b/pkg/sched/flow/place.go
@@ -89,7 +89,12 @@
 			score -= otherImage
 		}
 	}
-	return score - max(m.expectedTail(w, image, nil)-tailGoal, 0)
+	for _, r := range w.fillRuns {
+		if r.state != runStopping {
+			score -= fillRisk * m.disturb.belief(image, r.task.step.spec.Image)
+		}
+	}
+	return score
 }
 
 const (
@@ -103,11 +108,15 @@
 	// that serves; they outweigh differences in room.
 	sameImage  = 1.5
 	otherImage = 1.0
-	// harmWeight weighs what a task that fills takes from its neighbours.
-	harmWeight = 4
-	// harmPatience is how long a task that fills waits for a worker where it
-	// does no harm.
-	harmPatience = time.Second
+	// riskWeight weighs the belief that a task that fills disturbs those that
+	// serve, for each of them up to manyServe.
+	riskWeight = 2
+	manyServe  = 3
+	// riskPatience is how long a task that fills waits for a worker where it
+	// disturbs nobody.
+	riskPatience = time.Second
+	// fillRisk weighs the same the other way round, for each task that fills.
+	fillRisk = 0.5
 )
 
 // scoreFill rates a worker for a task that uses what others leave.
@@ -119,11 +128,11 @@
 	if left < fillShare*need && m.now.Sub(t.queuedAt) < fillPatience {
 		return 0, false
 	}
-	harm := m.addedHarm(t, w)
-	if harm > harmless*float64(len(w.images())) && m.now.Sub(t.queuedAt) < harmPatience {
+	risk := m.risk(w, s.Image)
+	if risk >= badPair && m.now.Sub(t.queuedAt) < riskPatience {
 		return 0, false
 	}
-	return score + (left-need)/max(capacity, 1) - harmWeight*harm, true
+	return score + (left-need)/max(capacity, 1) - riskWeight*risk*min(float64(len(w.serveRuns)), manyServe), true
 }
 
 // rackServes reports whether a rack has a usable worker.
--- a/pkg/sched/flow/run.go
+++ b/pkg/sched/flow/run.go
@@ -105,6 +105,9 @@
 		delete(t.step.placedOn, w)
 	}
 	w.count(r, -1)
+	if r.fills() {
+		w.depart(r, r.pace.have, m.now)
+	}
 	m.stale = true
 }
 
--- a/pkg/sched/flow/worker.go
+++ b/pkg/sched/flow/worker.go
@@ -25,6 +25,11 @@
 	used sched.Resources
 	// serveRuns and fillRuns are the runs that serve and that fill.
 	serveRuns, fillRuns []*run
+	// departed holds what filled the worker until a moment ago.
+	departed []departed
+	// imageList caches the images of serveRuns.
+	imageList   []string
+	imagesValid bool
 	// busy is the processor time that runs are expected to use, those that
 	// fill included.
 	busy float64
@@ -82,6 +87,7 @@
 	switch {
 	case r.serves():
 		w.serveRuns = enter(w.serveRuns, r, sign)
+		w.imagesValid = false
 		w.busy += float64(sign) * servingUse * float64(r.task.step.spec.Resources.CPU)
 	case r.fills():
 		w.fillRuns = enter(w.fillRuns, r, sign)
