Ask no worker before the state of a term is loaded

Cause: a new leader sent holds while it still posted jobs, so reports came before their jobs were known; starts were ordered before the takeover began; and adopted runs counted as lapsed, since this term had set no deadline yet. Ruled out: a fence that workers ignore (old orders were refused as expected). Change: the machine sends nothing before TakeoverMsg; the first report of a worker sets the deadline to the longest lease an earlier leader can have set. The log keeps a budget for each event, and writes whole lines.

--- a/cmd/mangoslip/serve.go
+++ b/cmd/mangoslip/serve.go
@@ -127,7 +127,7 @@
 		Leader: leader.Settings{
 			MembersPrefix: fleet.MembersPrefix, Members: fleet.Members,
 			Machine: []flow.Option{
-				flow.WithLease(c.lease), flow.WithStopTime(s.StopTime), flow.WithHarm(s.Harm, s.PaceTime),
+				flow.WithLease(c.lease, s.LeaseMax), flow.WithStopTime(s.StopTime), flow.WithHarm(s.Harm, s.PaceTime),
 				flow.WithFar(s.FarFactor), flow.WithRestore(s.Restore),
 			},
 		},
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -2,9 +2,10 @@
 // each event, on a writer that never holds up a decision.
 //
 // Lines wait in a bounded buffer and are written by one goroutine. Within a
-// second only a budget of lines is taken; beyond it the lines of most ids are
-// left out, those of the others are kept whole, and a line says how many were
-// left out. Warnings and errors are always taken while the buffer has room.
+// second only a budget of lines of each event is taken, so that a frequent event
+// does not crowd out a rare one. Beyond it the lines of most ids are left out,
+// those of the others are kept whole, and a line says how many were left out.
+// Warnings and errors are always taken while the buffer has room.
 //
 // # Usage
 //
@@ -15,6 +16,7 @@
 package trail
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"log/slog"
@@ -25,9 +27,9 @@
 )
 
 const (
-	// defaultBudget is the lines of one second that are taken whatever their
-	// id. A standard day writes about 300 a second at its peak.
-	defaultBudget = 800
+	// defaultBudget is the lines of one event and second that are taken
+	// whatever their id. A standard day writes about 100 starts a second.
+	defaultBudget = 200
 	// keepOneIn is the share of ids whose lines are kept beyond the budget.
 	keepOneIn = 8
 	// bufferSize bounds the bytes that wait for the writer.
@@ -45,7 +47,7 @@
 	buf     []byte
 	spare   []byte
 	second  int64
-	taken   int
+	taken   map[string]int
 	skipped int
 	wake    chan struct{}
 	done    chan struct{}
@@ -55,12 +57,16 @@
 // Option changes a setting of a [Writer].
 type Option func(*Writer)
 
-// WithBudget sets the lines of one second that are taken whatever their id.
+// WithBudget sets the lines of one event and second that are taken whatever
+// their id.
 func WithBudget(lines int) Option { return func(w *Writer) { w.budget = lines } }
 
 // New returns a writer and starts its goroutine; Close ends it.
 func New(out io.Writer, opts ...Option) *Writer {
-	w := &Writer{out: out, budget: defaultBudget, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	w := &Writer{
+		out: out, budget: defaultBudget, taken: map[string]int{},
+		wake: make(chan struct{}, 1), done: make(chan struct{}),
+	}
 	for _, o := range opts {
 		o(w)
 	}
@@ -97,17 +103,19 @@
 }
 
 // admit reports whether the budget takes a line.
-func (w *Writer) admit(now time.Time, level slog.Level, id string) bool {
+func (w *Writer) admit(now time.Time, level slog.Level, event, id string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if s := now.Unix(); s != w.second {
-		w.second, w.taken = s, 0
+		w.second = s
+		clear(w.taken)
 	}
-	w.taken++
-	if w.taken <= w.budget || level >= slog.LevelWarn {
+	w.taken[event]++
+	taken := w.taken[event]
+	if taken <= w.budget || level >= slog.LevelWarn {
 		return true
 	}
-	if id != "" && w.taken <= 2*w.budget && xxhash.Sum64String(id)%keepOneIn == 0 {
+	if id != "" && taken <= 2*w.budget && xxhash.Sum64String(id)%keepOneIn == 0 {
 		return true
 	}
 	w.skipped++
@@ -144,7 +152,7 @@
 			reported = skipped
 		}
 		if len(lines) > 0 {
-			_, _ = w.out.Write(lines) // There is no other place to tell.
+			w.write(lines)
 		}
 		w.mu.Lock()
 		w.spare = lines[:0]
@@ -155,6 +163,24 @@
 	}
 }
 
+// chunk is the most that one write takes, in whole lines, so that lines of
+// processes that share a pipe do not mix.
+const chunk = 4096
+
+// write writes lines in chunks.
+func (w *Writer) write(lines []byte) {
+	for len(lines) > 0 {
+		n := len(lines)
+		if n > chunk {
+			if i := bytes.LastIndexByte(lines[:chunk], '\n'); i >= 0 {
+				n = i + 1
+			}
+		}
+		_, _ = w.out.Write(lines[:n]) // There is no other place to tell.
+		lines = lines[n:]
+	}
+}
+
 // Handler returns a handler for events at or above a level.
 func (w *Writer) Handler(level slog.Leveler) slog.Handler {
 	return &handler{w: w, Handler: slog.NewTextHandler(w, &slog.HandlerOptions{Level: level})}
@@ -176,7 +202,7 @@
 		}
 		return true
 	})
-	if !h.w.admit(r.Time, r.Level, id) {
+	if !h.w.admit(r.Time, r.Level, r.Message, id) {
 		return nil
 	}
 	return h.Handler.Handle(ctx, r)
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -29,7 +29,7 @@
 //
 // # Usage
 //
-//	m := flow.New(term, flow.WithLease(4*time.Second))
+//	m := flow.New(term, flow.WithLease(4*time.Second, 6*time.Second))
 //	m.Update(now, flow.ConfigMsg{Fleet: fleet})
 //	m.Update(now, flow.MembersMsg{Members: members})
 //	m.Update(now, flow.JobMsg{Job: job})
@@ -73,6 +73,10 @@
 	lastPass time.Time
 	lost     bool
 
+	// loaded means that everything durable has been delivered. Before that, no
+	// worker is asked: its runs could not be told from unwanted ones.
+	loaded bool
+
 	// confirmedAt is when the store was last asked and showed this term;
 	// mayOrder tells whether runs may be started and renewed.
 	confirmedAt time.Time
--- a/pkg/sched/flow/hold.go
+++ b/pkg/sched/flow/hold.go
@@ -39,6 +39,9 @@
 
 // tend sends a hold to a worker if one is due, and repeats stops.
 func (m *Machine) tend(w *worker) {
+	if !m.loaded {
+		return
+	}
 	m.repeatStops(w)
 	if w.lapsed(m.now) && len(w.runs) > 0 {
 		m.lapse(w)
@@ -168,6 +171,10 @@
 	first := !w.surveyed
 	m.takeEnds(w, rep.Ended)
 	m.takeRuns(w, msg.Sent, rep.Running)
+	if first {
+		// An earlier leader may have set a deadline as far ahead as that.
+		w.deadline = max(w.deadline, rep.Clock+m.leaseMost)
+	}
 	if first && !w.hold.more {
 		w.surveyed = true
 		m.recovery.surveyed(w)
--- a/pkg/sched/flow/options.go
+++ b/pkg/sched/flow/options.go
@@ -7,6 +7,8 @@
 	// defaultLease is how far ahead a worker's deadline is set. A takeover
 	// takes about 2.5 s, so that a new leader renews what runs in time.
 	defaultLease = 4 * time.Second
+	// defaultLeaseMost is the longest lease that workers grant.
+	defaultLeaseMost = 6 * time.Second
 	// defaultStopTime is how long a worker takes to stop a run.
 	defaultStopTime = 400 * time.Millisecond
 	defaultOrder    = 300 * time.Millisecond
@@ -24,18 +26,19 @@
 )
 
 type options struct {
-	lease, stopTime, callTime time.Duration
-	reserve                   float64
-	harm, paceTime, gangWait  time.Duration
-	far                       float64
-	retention                 time.Duration
-	resume                    time.Duration
-	wall                      func(time.Time) int64
+	lease, leaseMost         time.Duration
+	stopTime, callTime       time.Duration
+	reserve                  float64
+	harm, paceTime, gangWait time.Duration
+	far                      float64
+	retention                time.Duration
+	resume                   time.Duration
+	wall                     func(time.Time) int64
 }
 
 func defaults() options {
 	return options{
-		lease: defaultLease, stopTime: defaultStopTime, callTime: defaultOrder,
+		lease: defaultLease, leaseMost: defaultLeaseMost, stopTime: defaultStopTime, callTime: defaultOrder,
 		reserve: defaultReserve, harm: defaultHarm, paceTime: defaultPaceTime,
 		far: defaultFar, retention: defaultRetention, gangWait: defaultGangWait,
 		resume: defaultRestore,
@@ -46,8 +49,11 @@
 // Option changes a default of a machine.
 type Option func(*options)
 
-// WithLease sets how far ahead the deadlines of workers are set (4 s).
-func WithLease(d time.Duration) Option { return func(o *options) { o.lease = d } }
+// WithLease sets how far ahead the deadlines of workers are set (4 s), and the
+// longest lease that workers grant (6 s).
+func WithLease(lease, most time.Duration) Option {
+	return func(o *options) { o.lease, o.leaseMost = lease, most }
+}
 
 // WithStopTime sets how long a worker takes to stop a run (400 ms).
 func WithStopTime(d time.Duration) Option { return func(o *options) { o.stopTime = d } }
--- a/pkg/sched/flow/schedule.go
+++ b/pkg/sched/flow/schedule.go
@@ -16,7 +16,7 @@
 
 // schedule places waiting tasks, the most urgent first.
 func (m *Machine) schedule() {
-	if !m.stale || !m.mayOrder || m.now.Sub(m.lastPass) < passGap {
+	if !m.stale || !m.loaded || !m.mayOrder || m.now.Sub(m.lastPass) < passGap {
 		return
 	}
 	m.stale, m.lastPass = false, m.now
