Emulate workers and a store in virtual time; look for room to preempt less often

Change: runs are kept in a list, preemption is considered every 100 ms and skips workers where it cannot help. Package emul plays workers, a store and leaders in virtual time with faults and an oracle.

--- /dev/null
+++ b/internal/emul/oracle.go
@@ -0,0 +1,170 @@
+package emul
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/mangoslip/mangoslip/pkg/sched"
+)
+
+// started judges a start that a worker carries out.
+func (e *Emulator) started(w *Worker, r *Run) {
+	e.Counts["Runs"]++
+	t := r.ID.Task
+	if r.job.done[t] {
+		e.violate("%s run %d starts on %s after its end was confirmed", name(t), r.ID.Number, w.Member.Worker)
+	}
+	if !r.spec.Speculative {
+		for _, o := range e.Workers {
+			for id := range o.runs {
+				if o.up && id.Task == t && id != r.ID {
+					e.violate("%s runs on %s and on %s", name(t), o.Member.Worker, w.Member.Worker)
+				}
+			}
+		}
+	}
+	for _, after := range r.spec.After {
+		for i := range r.job.Spec.Steps[after].Count {
+			earlier := sched.RunTask{Job: t.Job, Occurrence: t.Occurrence, Step: after, Index: i}
+			if !e.succeeded(r.job, earlier) {
+				e.violate("%s starts before %s has ended", name(t), name(earlier))
+			}
+		}
+	}
+	if n := r.spec.AntiAffinity; n > 0 {
+		count := 0
+		for id := range w.runs {
+			if id.Task.Job == t.Job && id.Task.Occurrence == t.Occurrence && id.Task.Step == t.Step {
+				count++
+			}
+		}
+		if count > n {
+			e.violate("%d tasks of a step on %s; %d may be", count, w.Member.Worker, n)
+		}
+	}
+	limit := e.Fleet.Queues[r.job.Spec.Queue].MaxAttempts
+	if !r.spec.Lasting && limit > 0 && r.job.failed[t] >= limit {
+		e.violate("%s starts after %d failures", name(t), r.job.failed[t])
+	}
+	if !r.job.Cancelled.IsZero() && e.now.Sub(r.job.Cancelled) > cancelBound {
+		e.violate("%s starts %s after its cancellation", name(t), e.now.Sub(r.job.Cancelled))
+	}
+}
+
+// cancelBound is how long after a cancellation a start is permitted.
+const cancelBound = 3e9
+
+// doneOnce remembers successes whether or not they were confirmed.
+func (e *Emulator) succeeded(j *Job, t sched.RunTask) bool {
+	if j.done[t] {
+		return true
+	}
+	for _, w := range e.Workers {
+		for _, end := range w.ends {
+			if end.Run.Task == t && end.How == sched.EndDone {
+				return true
+			}
+		}
+	}
+	return j.failed[sched.RunTask{Job: t.Job, Occurrence: t.Occurrence, Step: t.Step, Index: -1 - t.Index}] > 0
+}
+
+// ended notes the end of a run.
+func (e *Emulator) ended(r *Run, how sched.EndKind) {
+	e.Counts["End."+how.String()]++
+	if how == sched.EndDone {
+		t := r.ID.Task
+		// A negative index marks that the task has succeeded at least once.
+		r.job.failed[sched.RunTask{Job: t.Job, Occurrence: t.Occurrence, Step: t.Step, Index: -1 - t.Index}]++
+	}
+}
+
+// confirmed notes that a leader has taken note of an end.
+func (e *Emulator) confirmed(end sched.RunEnd) {
+	j := e.jobs[end.Run.Task.Job]
+	if j == nil {
+		return
+	}
+	spec := &j.Spec.Steps[end.Run.Task.Step]
+	switch end.How {
+	case sched.EndDone:
+		if !spec.Lasting && !spec.Speculative {
+			j.done[end.Run.Task] = true
+		}
+	case sched.EndFailed:
+		j.failed[end.Run.Task]++
+	}
+}
+
+// note counts runs that ended without a report.
+func (e *Emulator) note(_ *Run, what string) { e.Counts["End."+what]++ }
+
+// judge checks a job that is shown ended.
+func (e *Emulator) judge(j *Job) {
+	switch j.State {
+	case sched.JobCompleted:
+		for k := range j.Spec.Occurrences() {
+			for s := range j.Spec.Steps {
+				for i := range j.Spec.Steps[s].Count {
+					t := sched.RunTask{Job: j.Spec.ID, Occurrence: k, Step: s, Index: i}
+					if !e.succeeded(j, t) {
+						e.violate("%s is shown completed, and %s has not ended", j.Spec.ID, name(t))
+					}
+				}
+			}
+		}
+	case sched.JobFailed:
+		limit := e.Fleet.Queues[j.Spec.Queue].MaxAttempts
+		for t, n := range j.failed {
+			if t.Index >= 0 && limit > 0 && n >= limit-1 {
+				return
+			}
+		}
+		e.violate("%s is shown failed without cause", j.Spec.ID)
+	case sched.JobCancelled:
+		if j.Cancelled.IsZero() {
+			e.violate("%s is shown cancelled, and nobody cancelled it", j.Spec.ID)
+		}
+	}
+}
+
+// Check returns what the oracle saw, and what is left over of jobs that ended.
+func (e *Emulator) Check() error {
+	if len(e.Violations) == 0 {
+		return nil
+	}
+	return fmt.Errorf("%d violations:\n%s", len(e.Violations), strings.Join(e.Violations, "\n"))
+}
+
+// Running returns the number of runs on workers that are up.
+func (e *Emulator) Running() int {
+	n := 0
+	for _, w := range e.Workers {
+		n += len(w.runs)
+	}
+	return n
+}
+
+// tail returns the tail latency of a task that serves: a base, and more beside
+// images that disturb it. An image disturbs another if their names end alike.
+func (e *Emulator) tail(w *Worker, r *Run) float64 {
+	target := float64(r.spec.TailTarget.Milliseconds())
+	tail := target * (0.35 + 0.2*e.Rand.Float64())
+	for _, o := range w.runs {
+		if o.spec.Fills && disturbs(o.spec.Image, r.spec.Image) {
+			tail += target * 8 * o.pace * float64(o.spec.Resources.CPU) / float64(w.Member.Capacity.CPU)
+		}
+	}
+	return tail
+}
+
+func disturbs(fills, serves string) bool {
+	if fills == "" || serves == "" {
+		return false
+	}
+	return fills[len(fills)-1] == serves[len(serves)-1]
+}
+
+func name(t sched.RunTask) string {
+	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
+}
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -71,7 +71,9 @@
 	// stale means that tasks or room have changed since the last pass.
 	stale    bool
 	lastPass time.Time
-	lost     bool
+	// preemptedAt is when runs were last considered for preemption.
+	preemptedAt time.Time
+	lost        bool
 
 	// loaded means that everything durable has been delivered. Before that, no
 	// worker is asked: its runs could not be told from unwanted ones.
--- a/pkg/sched/flow/hold.go
+++ b/pkg/sched/flow/hold.go
@@ -93,7 +93,7 @@
 // repeatStops sends stops again that have no answer, or whose run is still
 // there.
 func (m *Machine) repeatStops(w *worker) {
-	for _, r := range w.runs {
+	for _, r := range w.list {
 		if r.state != runStopping || r.stopInCall || w.replaced {
 			continue
 		}
@@ -107,7 +107,7 @@
 func (m *Machine) lapse(w *worker) {
 	m.note("leases lapsed", "worker", w.name(), "runs", len(w.runs), "deadline", w.deadline,
 		"clock", w.earliest(m.now), "contact", w.age(m.now))
-	for _, r := range w.sorted() {
+	for _, r := range w.snapshot() {
 		m.close(r, sched.EndLapsed, "")
 	}
 }
@@ -141,7 +141,7 @@
 	case sched.OrderOtherLife:
 		m.note("another life answers at the worker's address", "worker", w.name(), "runs", len(w.runs))
 		w.replaced = true
-		for _, r := range w.sorted() {
+		for _, r := range w.snapshot() {
 			m.close(r, sched.EndGone, "")
 		}
 		m.recovery.surveyed(w)
@@ -223,7 +223,7 @@
 		listed[running[i].Run] = true
 		m.takeRun(w, &running[i])
 	}
-	for _, r := range w.sorted() {
+	for _, r := range w.snapshot() {
 		if listed[r.id()] {
 			continue
 		}
--- a/pkg/sched/flow/preempt.go
+++ b/pkg/sched/flow/preempt.go
@@ -11,6 +11,8 @@
 	// preemptAfter is how long a task waits before it takes room from queues
 	// of lower priority.
 	preemptAfter = 150 * time.Millisecond
+	// preemptGap is the shortest time between two passes that look for room.
+	preemptGap = 100 * time.Millisecond
 	// preemptsPerPass bounds the workers on which one pass stops runs.
 	preemptsPerPass = 8
 )
@@ -18,11 +20,13 @@
 // preempt makes room for steps that found none by stopping runs of queues with
 // a lower priority, those first that lose the least work.
 func (p *pass) preempt() {
-	if len(p.short) == 0 {
+	m := p.m
+	if len(p.short) == 0 || m.now.Sub(m.preemptedAt) < preemptGap {
 		return
 	}
+	m.preemptedAt = m.now
 	soon := map[*worker]sched.Resources{}
-	for _, w := range p.m.order {
+	for _, w := range m.order {
 		soon[w] = w.soonFree()
 	}
 	left := preemptsPerPass
@@ -30,7 +34,7 @@
 		if left == 0 {
 			return
 		}
-		if s.spec.Gang || p.m.now.Sub(s.ready) < preemptAfter {
+		if s.spec.Gang || m.now.Sub(s.ready) < preemptAfter {
 			continue
 		}
 		left = p.makeRoom(s, soon, left)
@@ -40,7 +44,7 @@
 // soonFree returns the room of a worker once what is being stopped has ended.
 func (w *worker) soonFree() sched.Resources {
 	free := w.free()
-	for _, r := range w.runs {
+	for _, r := range w.list {
 		if r.state == runStopping {
 			free = free.Add(r.need)
 		}
@@ -115,18 +119,16 @@
 // victims returns the runs of a worker to stop so that a task fits, and the
 // work that is lost.
 func (m *Machine) victims(t *task, w *worker, q sched.Queue, free sched.Resources) ([]*run, time.Duration, bool) {
+	total := free.Add(w.lowerNeed(m, q.Priority))
+	if !t.step.spec.Need().Fits(total) {
+		return nil, 0, false
+	}
 	var lower []*run
-	total := free
-	for _, r := range w.sorted() {
-		rq := m.fleet.Queues[r.task.job().queue]
-		if rq.Priority > q.Priority && r.state == runRunning && r.task.step.spec.MayMiss == 0 && !r.task.step.spec.Gang {
+	for _, r := range w.list {
+		if m.preemptable(r, q.Priority) {
 			lower = append(lower, r)
-			total = total.Add(r.need)
 		}
 	}
-	if len(lower) == 0 || !t.step.spec.Need().Fits(total) {
-		return nil, 0, false
-	}
 	slices.SortStableFunc(lower, func(a, b *run) int { return int(m.unsaved(a) - m.unsaved(b)) })
 	var out []*run
 	cost := time.Duration(0)
@@ -142,6 +144,23 @@
 	return out, cost, need.Fits(free) && len(out) > 0
 }
 
+// preemptable reports whether a queue of the given priority may stop a run.
+func (m *Machine) preemptable(r *run, priority int) bool {
+	q := m.fleet.Queues[r.task.job().queue]
+	return q.Priority > priority && r.state == runRunning && r.task.step.spec.MayMiss == 0 && !r.task.step.spec.Gang
+}
+
+// lowerNeed returns the room that stopping all lower priorities would free.
+func (w *worker) lowerNeed(m *Machine, priority int) sched.Resources {
+	var sum sched.Resources
+	for _, r := range w.list {
+		if m.preemptable(r, priority) {
+			sum = sum.Add(r.need)
+		}
+	}
+	return sum
+}
+
 // unsaved returns the work of a run that a stop would lose.
 func (m *Machine) unsaved(r *run) time.Duration {
 	if r.task.step.spec.Checkpoint {
--- a/pkg/sched/flow/run.go
+++ b/pkg/sched/flow/run.go
@@ -87,6 +87,7 @@
 	t, w := r.task, r.worker
 	t.runs = append(t.runs, r)
 	w.runs[r.id()] = r
+	w.list = append(w.list, r)
 	w.used = w.used.Add(r.need)
 	if t.step.placedOn == nil {
 		t.step.placedOn = map[*worker]int{}
@@ -100,6 +101,7 @@
 	t, w := r.task, r.worker
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
 	delete(w.runs, r.id())
+	w.list = slices.DeleteFunc(w.list, func(o *run) bool { return o == r })
 	w.used = w.used.Sub(r.need)
 	if t.step.placedOn[w]--; t.step.placedOn[w] <= 0 {
 		delete(t.step.placedOn, w)
--- a/pkg/sched/flow/trust.go
+++ b/pkg/sched/flow/trust.go
@@ -1,8 +1,6 @@
 package flow
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/mangoslip/mangoslip/pkg/sched"
@@ -85,15 +83,3 @@
 	}
 	return true
 }
-
-// sortRuns orders runs by their names.
-func sortRuns(runs []*run) {
-	slices.SortFunc(runs, func(a, b *run) int {
-		x, y := a.id(), b.id()
-		return cmp.Or(
-			cmp.Compare(x.Task.Job, y.Task.Job), cmp.Compare(x.Task.Occurrence, y.Task.Occurrence),
-			cmp.Compare(x.Task.Step, y.Task.Step), cmp.Compare(x.Task.Index, y.Task.Index),
-			cmp.Compare(x.Number, y.Number),
-		)
-	})
-}
--- a/pkg/sched/flow/worker.go
+++ b/pkg/sched/flow/worker.go
@@ -22,6 +22,9 @@
 	replaced bool
 
 	runs map[sched.Run]*run
+	// list holds the runs in the order in which they were entered, so that a
+	// machine does the same in every replay.
+	list []*run
 	used sched.Resources
 	// serveRuns and fillRuns are the runs that serve and that fill.
 	serveRuns, fillRuns []*run
@@ -227,7 +230,7 @@
 	w.processed, w.durable, w.confirmed, w.pending = 0, 0, 0, nil
 	w.hasClock, w.clock, w.deadline, w.surveyed, w.replaced = false, 0, 0, false, false
 	w.trust = trust{}
-	for _, r := range w.sorted() {
+	for _, r := range w.snapshot() {
 		if !r.known.IsZero() && r.known.Before(sent) {
 			m.close(r, sched.EndGone, "")
 		}
@@ -254,7 +257,7 @@
 // drain moves work off a worker that leaves: what lasts at once, and what can
 // resume from its checkpoint if it would not end in time.
 func (m *Machine) drain(w *worker) {
-	for _, r := range w.sorted() {
+	for _, r := range w.snapshot() {
 		if r.state == runStopping || m.endsBefore(r, w.member.DrainLeft) {
 			continue
 		}
@@ -272,13 +275,5 @@
 	return m.remaining(r) < left-m.stopTime
 }
 
-// sorted returns the runs of a worker in a fixed order, so that a machine does
-// the same in every replay.
-func (w *worker) sorted() []*run {
-	out := make([]*run, 0, len(w.runs))
-	for _, r := range w.runs {
-		out = append(out, r)
-	}
-	sortRuns(out)
-	return out
-}
+// snapshot returns the runs of a worker, for loops that end some of them.
+func (w *worker) snapshot() []*run { return slices.Clone(w.list) }
