Gather tasks that serve by what disturbs them (in work)

Change: a bound on fills by the crest of what serves, blame shared with contention, moves of tasks that serve, a reserve of the pool.

--- a/pkg/sched/flow/disturb.go
+++ b/pkg/sched/flow/disturb.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -12,7 +13,13 @@
 // Each pair has a belief, the probability that the two do not get along. If a
 // target is missed, one of the images beside it is to blame, each the more the
 // likelier it was before. Time without a miss lowers the belief slowly.
-type disturb struct{ odds map[imagePair]float64 }
+type disturb struct {
+	odds map[imagePair]float64
+	// hostile caches the hostility of the images that fill, and fills lists
+	// them; both are made anew when a belief has changed.
+	hostile map[string]float64
+	fills   []string
+}
 
 // imagePair names the image of a task that serves and of one that fills.
 type imagePair struct{ serves, fills string }
@@ -36,13 +43,21 @@
 	// that fills, and otherCauseFar the same for one that is missed by far.
 	otherCause    = 0.3
 	otherCauseFar = 0.06
+	// Between loadEasy and loadFull, shares of a worker's processors that are in
+	// use, contention becomes the likely cause, up to otherCauseMost.
+	loadEasy       = 0.65
+	loadFull       = 1.0
+	otherCauseMost = 0.9
 	// badPair is the belief from which two images are kept apart, and goodPair
 	// the one below which they are known to get along.
 	badPair  = 0.6
 	goodPair = 0.15
 )
 
-func (d *disturb) init() { d.odds = map[imagePair]float64{} }
+func (d *disturb) init() {
+	d.odds = map[imagePair]float64{}
+	d.hostile = map[string]float64{}
+}
 
 // belief returns the probability that two images do not get along.
 func (d *disturb) belief(serves, fills string) float64 {
@@ -55,16 +70,68 @@
 
 func (d *disturb) set(serves, fills string, p float64) {
 	p = min(max(p, beliefLeast), beliefMost)
-	d.odds[imagePair{serves, fills}] = math.Log(p / (1 - p))
+	k := imagePair{serves, fills}
+	old, known := d.odds[k]
+	l := math.Log(p / (1 - p))
+	d.odds[k] = l
+	if !known || (old > 0) != (l > 0) {
+		d.refresh(fills, !known)
+	}
+}
+
+// refresh brings the caches up to date after a belief on an image changed.
+func (d *disturb) refresh(fills string, first bool) {
+	bad, all := 0, 0
+	for k, l := range d.odds {
+		if k.fills != fills {
+			continue
+		}
+		all++
+		if l > 0 {
+			bad++
+		}
+	}
+	d.hostile[fills] = float64(bad) / float64(all)
+	if first && !slices.Contains(d.fills, fills) {
+		d.fills = append(d.fills, fills)
+	}
+}
+
+// hostility returns the share of the images that serve which an image that
+// fills is believed to disturb.
+func (d *disturb) hostility(fills string) float64 { return d.hostile[fills] }
+
+// fillImages returns the images that were seen to fill.
+func (d *disturb) fillImages() []string { return d.fills }
+
+// unlike returns how differently two images that serve are disturbed, from 0
+// to 1; a half if too little is known.
+func (d *disturb) unlike(a, b string) float64 {
+	sum, n := 0.0, 0
+	for k := range d.odds {
+		if k.serves != a {
+			continue
+		}
+		if _, ok := d.odds[imagePair{b, k.fills}]; ok {
+			sum += math.Abs(d.belief(a, k.fills) - d.belief(b, k.fills))
+			n++
+		}
+	}
+	if n < 3 {
+		return 0.5
+	}
+	return sum / float64(n)
 }
 
 // missed takes in that an image missed its target beside others. A target may
-// also be missed for other causes, the less likely the further it is missed.
-func (d *disturb) missed(serves string, tail float64, fills []presence) {
-	none := 1 - otherCause
+// also be missed for other causes, the less likely the further it is missed,
+// and the likelier the more of the worker's processors is in use.
+func (d *disturb) missed(serves string, tail, load float64, fills []presence) {
+	other := otherCause
 	if tail > tailFar {
-		none = 1 - otherCauseFar
+		other = otherCauseFar
 	}
+	none := 1 - min(max(other, (load-loadEasy)/(loadFull-loadEasy)), otherCauseMost)
 	for _, f := range fills {
 		none *= 1 - d.belief(serves, f.image)
 	}
@@ -188,7 +255,7 @@
 	for i, f := range fills {
 		before[i] = m.disturb.belief(image, f.image)
 	}
-	m.disturb.missed(image, worst, fills)
+	m.disturb.missed(image, worst, w.busy/max(float64(w.member.Capacity.CPU), 1), fills)
 	for i, f := range fills {
 		after := m.disturb.belief(image, f.image)
 		if before[i] < badPair && after >= badPair {
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -73,7 +73,11 @@
 	lastPass time.Time
 	// preemptedAt is when runs were last considered for preemption.
 	preemptedAt time.Time
-	lost        bool
+	// spare caches the free room of the workers.
+	spare spareRoom
+	// tidiedAt is when the mix of images was last looked at.
+	tidiedAt time.Time
+	lost     bool
 
 	// loaded means that everything durable has been delivered. Before that, no
 	// worker is asked: its runs could not be told from unwanted ones.
@@ -164,6 +168,7 @@
 		m.tend(w)
 	}
 	m.moveSlowed()
+	m.tidy()
 	m.forget()
 	m.stale = true
 }
--- a/pkg/sched/flow/pace.go
+++ b/pkg/sched/flow/pace.go
@@ -27,9 +27,16 @@
 	// tailCalm is the tail, as a share of its target, below which caution is
 	// given up.
 	tailCalm = 0.85
-	// riskyPace bounds the pace of a run beside an image that it does not get
-	// along with.
-	riskyPace = 60
+	// trickleFirst is the share of a worker that tasks which do not get along
+	// with those that serve there use together at first; it is adjusted between
+	// trickleLeast and trickleMost by the tails that follow.
+	trickleFirst = 0.01
+	trickleLeast = 0.005
+	trickleMost  = 0.03
+	trickleRise  = 1.4
+	// trickleCalm is the tail, as a share of its target, below which the
+	// trickle is raised.
+	trickleCalm = 0.7
 	// cautionLeast is the caution from which every task that fills is slowed,
 	// whatever is believed of it, and cautionStop the one that pauses.
 	cautionLeast = 0.3
@@ -59,7 +66,7 @@
 // misses its target, those first that are believed to be the cause.
 func (m *Machine) adjustPace(w *worker) {
 	if len(w.fillRuns) == 0 {
-		w.caution = 1
+		w.caution, w.trickle = 1, trickleFirst
 		return
 	}
 	m.adjustCaution(w)
@@ -76,10 +83,20 @@
 	if w.caution == 0 {
 		w.caution = 1
 	}
+	if w.trickle == 0 {
+		w.trickle = trickleFirst
+	}
 	worst := w.worstTail()
 	since := m.now.Sub(w.cautionAt)
 	settle := m.paceTime + figureWindow
 	switch {
+	case worst > 1 && since >= settle:
+		w.trickle = max(w.trickle/2, trickleLeast)
+	case worst < trickleCalm && since >= 2*settle && w.trickle < trickleMost:
+		w.trickle = min(w.trickle*trickleRise, trickleMost)
+		w.cautionAt = m.now
+	}
+	switch {
 	case worst > 1 && since >= settle:
 		w.caution /= 2
 		if worst > tailFar {
@@ -100,11 +117,11 @@
 func (m *Machine) paceFor(w *worker, r *run) int {
 	risk := m.risk(w, r.task.step.spec.Image)
 	share := 1.0
-	if risk >= badPair {
-		share = riskyPace / float64(fullPace)
-	}
-	if risk >= goodPair || w.caution < cautionLeast {
-		share *= w.caution
+	switch {
+	case risk >= badPair:
+		share = min(1, w.trickle*float64(w.member.Capacity.CPU)/m.riskyCPU(w))
+	case risk >= goodPair || w.caution < cautionLeast:
+		share = w.caution
 	}
 	if share < cautionStop {
 		return 0
@@ -112,6 +129,18 @@
 	return min(max(int(share*fullPace+0.5)/paceGrain*paceGrain, paceGrain), fullPace)
 }
 
+// riskyCPU returns the processors of the runs that fill a worker and do not get
+// along with those that serve there.
+func (m *Machine) riskyCPU(w *worker) float64 {
+	sum := 0.0
+	for _, r := range w.fillRuns {
+		if r.state != runStopping && m.risk(w, r.task.step.spec.Image) >= badPair {
+			sum += float64(r.task.step.spec.Resources.CPU)
+		}
+	}
+	return max(sum, 1)
+}
+
 // setPace orders a pace if it differs from the one that is in force.
 func (m *Machine) setPace(r *run, percent int) {
 	changed := r.pace.want != percent
@@ -119,7 +148,9 @@
 		m.note("pace changed", "id", r.task.job().spec.ID, "task", r.task.name(), "run", r.number,
 			"worker", r.worker.name(), "percent", percent, "before", r.pace.want, "worst", r.worker.worstTail(),
 			"caution", r.worker.caution)
+		r.worker.busy -= r.use()
 		r.pace.want = percent
+		r.worker.busy += r.use()
 	}
 	switch {
 	case percent >= movePace:
--- a/pkg/sched/flow/place.go
+++ b/pkg/sched/flow/place.go
@@ -11,8 +11,6 @@
 	// fillShare is the part of its processors that a filling task must find
 	// unused on a worker. Where it finds less, it is better off waiting.
 	fillShare = 0.8
-	// fillPatience is how long a filling task waits for such a worker.
-	fillPatience = 2 * time.Second
 )
 
 // choose returns the worker on which a task starts, or nil.
@@ -65,7 +63,7 @@
 	}
 	capacity := max(float64(w.member.Capacity.CPU), 1)
 	left := float64(w.free().CPU - s.Need().CPU)
-	if s.Lasting && left < m.reserve*capacity && waited < reservePatience {
+	if s.Lasting && waited < reservePatience && m.reserved(s.Need().CPU) {
 		return 0, false
 	}
 	memory := float64(w.free().Memory-s.Need().Memory) / float64(max(w.member.Capacity.Memory, 1))
@@ -76,17 +74,42 @@
 	return score, true
 }
 
+// reserved reports whether a task that lasts would take processors that are
+// kept for short ones. The reserve is the pool's and not each worker's, so that
+// tasks which belong together can fill a worker.
+func (m *Machine) reserved(need sched.MilliCPU) bool {
+	if !m.spare.at.Equal(m.now) {
+		m.spare = spareRoom{at: m.now}
+		for _, w := range m.order {
+			if m.usable(w) {
+				m.spare.free += w.free().CPU
+				m.spare.all += w.member.Capacity.CPU
+			}
+		}
+	}
+	return float64(m.spare.free-need) < m.reserve*float64(m.spare.all)
+}
+
+// spareRoom is the free room of all usable workers at a time.
+type spareRoom struct {
+	at        time.Time
+	free, all sched.MilliCPU
+}
+
 // scoreServe rates the neighbours of a task that serves. Tasks of one image
 // are kept together: what disturbs one image often leaves another alone, so
 // that every image that fills finds workers on which it does no harm.
 func (m *Machine) scoreServe(t *task, w *worker) float64 {
 	image := t.step.spec.Image
 	score := 0.0
+	if len(w.serveRuns) == 0 && m.freeShare() <= freeLeast {
+		score -= lastFree
+	}
 	for _, other := range w.images() {
 		if other == image {
 			score += sameImage
 		} else {
-			score -= otherImage
+			score -= otherImage * m.disturb.unlike(image, other)
 		}
 	}
 	for _, r := range w.fillRuns {
@@ -107,14 +130,24 @@
 	// sameImage and otherImage weigh the images of the neighbours of a task
 	// that serves; they outweigh differences in room.
 	sameImage  = 1.5
-	otherImage = 1.0
+	otherImage = 2.0
+	// freeLeast is the share of the workers that is kept free of tasks that
+	// serve, for images that disturb all of them; lastFree weighs it.
+	freeLeast = 0.12
+	lastFree  = 1.5
+	// scarceWeight keeps images that get along with most off the workers that
+	// are open to those which get along with few.
+	scarceWeight = 1.5
+	// slowedWeight spreads the tasks that have to be slowed.
+	slowedWeight = 0.4
 	// riskWeight weighs the belief that a task that fills disturbs those that
 	// serve, for each of them up to manyServe.
 	riskWeight = 2
 	manyServe  = 3
 	// riskPatience is how long a task that fills waits for a worker where it
-	// disturbs nobody.
-	riskPatience = time.Second
+	// disturbs nobody. A disturbed task that serves loses more in two seconds
+	// than the other gains by its end.
+	riskPatience = 10 * time.Second
 	// fillRisk weighs the same the other way round, for each task that fills.
 	fillRisk = 0.5
 )
@@ -125,16 +158,59 @@
 	capacity := float64(w.member.Capacity.CPU)
 	need := float64(s.Resources.CPU)
 	left := capacity - w.busy
-	if left < fillShare*need && m.now.Sub(t.queuedAt) < fillPatience {
+	if left < fillShare*need {
 		return 0, false
 	}
+	score -= scarceWeight * m.scarcity(w, s.Image)
 	risk := m.risk(w, s.Image)
 	if risk >= badPair && m.now.Sub(t.queuedAt) < riskPatience {
 		return 0, false
 	}
+	if risk >= badPair {
+		score -= slowedWeight * float64(w.slowed())
+	}
 	return score + (left-need)/max(capacity, 1) - riskWeight*risk*min(float64(len(w.serveRuns)), manyServe), true
 }
 
+// freeShare returns the share of the usable workers on which no task serves.
+func (m *Machine) freeShare() float64 {
+	free, all := 0, 0
+	for _, w := range m.order {
+		if !m.usable(w) {
+			continue
+		}
+		all++
+		if len(w.serveRuns) == 0 {
+			free++
+		}
+	}
+	return float64(free) / float64(max(all, 1))
+}
+
+// scarcity returns how much rarer workers are for an image that a worker is
+// open to than for the given one: the difference of their hostilities.
+func (m *Machine) scarcity(w *worker, image string) float64 {
+	own := m.disturb.hostility(image)
+	worst := 0.0
+	for _, other := range m.disturb.fillImages() {
+		if h := m.disturb.hostility(other); h > own+worst && m.risk(w, other) < badPair {
+			worst = h - own
+		}
+	}
+	return worst
+}
+
+// slowed returns the number of runs that fill a worker below full pace.
+func (w *worker) slowed() int {
+	n := 0
+	for _, r := range w.fillRuns {
+		if r.pace.want < fullPace {
+			n++
+		}
+	}
+	return n
+}
+
 // rackServes reports whether a rack has a usable worker.
 func (m *Machine) rackServes(rack string) bool {
 	for _, w := range m.order {
--- a/pkg/sched/flow/worker.go
+++ b/pkg/sched/flow/worker.go
@@ -59,8 +59,10 @@
 	fullUntil time.Time
 	trust     trust
 	// caution is the share of the computed paces that is in force, and
-	// cautionAt when it last changed.
+	// cautionAt when it last changed. trickle is the share of the worker that
+	// tasks may use which disturb those that serve.
 	caution   float64
+	trickle   float64
 	cautionAt time.Time
 	learnedAt time.Time
 }
@@ -91,12 +93,22 @@
 	case r.serves():
 		w.serveRuns = enter(w.serveRuns, r, sign)
 		w.imagesValid = false
-		w.busy += float64(sign) * servingUse * float64(r.task.step.spec.Resources.CPU)
 	case r.fills():
 		w.fillRuns = enter(w.fillRuns, r, sign)
-		w.busy += float64(sign) * float64(r.task.step.spec.Resources.CPU)
+	}
+	w.busy += float64(sign) * r.use()
+}
+
+// use returns the processor time that a run is expected to use.
+func (r *run) use() float64 {
+	cpu := float64(r.task.step.spec.Resources.CPU)
+	switch {
+	case r.serves():
+		return servingUse * cpu
+	case r.fills():
+		return cpu * float64(r.pace.want) / fullPace
 	default:
-		w.busy += float64(sign) * float64(r.task.step.spec.Resources.CPU)
+		return cpu
 	}
 }
 
@@ -108,9 +120,10 @@
 	return slices.DeleteFunc(list, func(o *run) bool { return o == r })
 }
 
-// servingUse is the share of its processors that a task that serves uses on
-// average; its load swings about it.
-const servingUse = 0.45
+// servingUse is the share of its processors that a task that serves uses at the
+// crest of its load. Where those and the tasks that fill want more than there
+// is, every tail grows.
+const servingUse = 0.7
 
 // clockDrift bounds how much slower a worker's clock runs, with some margin
 // over the 2% that the platform states.
