Let entries with more processor time lead; fewer holds and paces

Change: holds wait longer where nothing can disturb, paces have four levels, lines are shorter, and entries below 0.3 cores campaign 120 ms later.

--- a/cmd/mangoslip/serve.go
+++ b/cmd/mangoslip/serve.go
@@ -125,7 +125,7 @@
 			return front.New(jobs, config.Load, front.WithNote(noteRequests(log, st)))
 		},
 		Leader: leader.Settings{
-			MembersPrefix: fleet.MembersPrefix, Members: fleet.Members,
+			Processors: s.Processors, MembersPrefix: fleet.MembersPrefix, Members: fleet.Members,
 			Machine: []flow.Option{
 				flow.WithLease(c.lease, s.LeaseMax), flow.WithStopTime(s.StopTime), flow.WithHarm(s.Harm, s.PaceTime),
 				flow.WithFar(s.FarFactor), flow.WithRestore(s.Restore),
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -47,6 +47,10 @@
 	retryPause = 150 * time.Millisecond
 	// campaignSpread spreads the entries that campaign at once.
 	campaignSpread = 40 * time.Millisecond
+	// handicap is how much longer an entry with little processor time waits
+	// until it campaigns, and handicapBelow the cores below which it does.
+	handicap      = 120 * time.Millisecond
+	handicapBelow = 0.3
 	// outageGrace is how long an entry that lost the store leaves the leader's
 	// key to the one that held it.
 	outageGrace = 600 * time.Millisecond
@@ -61,6 +65,8 @@
 	Name sched.EntryName
 	// Addr is where other entries ask this one.
 	Addr netip.AddrPort
+	// Processors is the share of a core that the entry may use.
+	Processors float64
 	// MembersPrefix is the prefix of the register of workers and Members
 	// decodes it; entries that name no worker are returned by key.
 	MembersPrefix string
@@ -125,7 +131,7 @@
 		if outage {
 			pause(ctx, outageGrace)
 		}
-		pause(ctx, rand.N(campaignSpread))
+		pause(ctx, l.campaignDelay())
 		t, err := l.campaign(ctx, seat)
 		if err != nil {
 			l.log.Info("campaign lost", "peer", l.Name, "error", err)
@@ -137,6 +143,16 @@
 	return nil
 }
 
+// campaignDelay returns how long to wait before a campaign, so that entries do
+// not all campaign at once, and those with more processor time come first.
+func (l *Leader) campaignDelay() time.Duration {
+	d := rand.N(campaignSpread)
+	if l.Processors < handicapBelow {
+		d += handicap
+	}
+	return d
+}
+
 // Current returns whom this entry believes to lead.
 func (l *Leader) Current() layout.Leader {
 	l.mu.Lock()
--- a/pkg/sched/flow/hold.go
+++ b/pkg/sched/flow/hold.go
@@ -11,8 +11,10 @@
 	// holdWait is how long the answer to a hold waits for an end.
 	holdWait = 1500 * time.Millisecond
 	// watchWait is the same where tasks that serve share a worker with tasks
-	// that fill: their figures cover the last half second.
+	// that may disturb them: their figures cover the last half second.
 	watchWait = 500 * time.Millisecond
+	// easyWait is the same beside tasks that are known to get along.
+	easyWait = time.Second
 	// holdRetry is the pause after a hold without an answer.
 	holdRetry = 250 * time.Millisecond
 	// commitPatience is how long a hold waits for the record of an end. After
@@ -63,7 +65,7 @@
 	case w.suspected && (len(w.runs) > 0 || w.listed):
 		m.sendHold(w, 0)
 	case len(w.runs) > 0:
-		m.sendHold(w, w.waitTime())
+		m.sendHold(w, m.waitTime(w))
 	case w.confirmed < w.durable:
 		m.sendHold(w, 0)
 	case m.uncertain() && w.listed && w.age(m.now) > witnessEvery:
@@ -72,11 +74,19 @@
 }
 
 // waitTime returns how long the answer of a hold may wait.
-func (w *worker) waitTime() time.Duration {
-	if len(w.serveRuns) > 0 {
+func (m *Machine) waitTime(w *worker) time.Duration {
+	if len(w.serveRuns) == 0 || len(w.fillRuns) == 0 {
+		return holdWait
+	}
+	if w.caution < 1 {
 		return watchWait
 	}
-	return holdWait
+	for _, r := range w.fillRuns {
+		if m.risk(w, r.task.step.spec.Image) >= goodPair {
+			return watchWait
+		}
+	}
+	return easyWait
 }
 
 func (m *Machine) sendHold(w *worker, wait time.Duration) {
--- a/pkg/sched/flow/pace.go
+++ b/pkg/sched/flow/pace.go
@@ -20,8 +20,6 @@
 
 const (
 	fullPace = 100
-	// paceGrain is the smallest change of a pace that is ordered, in percent.
-	paceGrain = 10
 	// figureWindow is the time that a reported figure covers.
 	figureWindow = 500 * time.Millisecond
 	// tailCalm is the tail, as a share of its target, below which caution is
@@ -49,6 +47,21 @@
 	movesPerTick = 6
 )
 
+// paceLevel returns the pace for a share. There are few levels, as each change
+// is an order.
+func paceLevel(share float64) int {
+	switch {
+	case share >= 0.75:
+		return fullPace
+	case share >= 0.35:
+		return 50
+	case share >= cautionStop:
+		return 20
+	default:
+		return 0
+	}
+}
+
 func (p *pace) init() { p.want, p.have = fullPace, fullPace }
 
 // worstTail returns the highest tail on a worker as a share of its target.
@@ -123,10 +136,7 @@
 	case risk >= goodPair || w.caution < cautionLeast:
 		share = w.caution
 	}
-	if share < cautionStop {
-		return 0
-	}
-	return min(max(int(share*fullPace+0.5)/paceGrain*paceGrain, paceGrain), fullPace)
+	return paceLevel(share)
 }
 
 // riskyCPU returns the processors of the runs that fill a worker and do not get
--- a/pkg/sched/flow/run.go
+++ b/pkg/sched/flow/run.go
@@ -123,8 +123,7 @@
 		Fence: m.term, Saved: r.base,
 	}
 	m.note("start ordered", "id", r.task.job().spec.ID, "task", r.task.name(), "run", r.number, "worker", w.name(),
-		"try", r.tries, "waited", m.now.Sub(r.task.queuedAt), "free", w.free(), "contact", w.age(m.now),
-		"saved", r.base)
+		"try", r.tries, "waited", m.now.Sub(r.task.queuedAt), "contact", w.age(m.now))
 	m.emit(StartCmd{Member: w.member, Order: order})
 }
 
@@ -288,7 +287,7 @@
 func (m *Machine) close(r *run, how sched.EndKind, saved string) {
 	t, w := r.task, r.worker
 	m.note("run ended", "id", t.job().spec.ID, "task", t.name(), "run", r.number, "worker", w.name(), "how", how,
-		"cause", r.why, "took", m.now.Sub(r.first), "percent", r.percent, "contact", w.age(m.now))
+		"cause", r.why, "took", m.now.Sub(r.first), "percent", r.percent)
 	m.detach(r)
 	m.learn(r, how)
 	if saved == "" {
--- a/pkg/sched/flow/worker.go
+++ b/pkg/sched/flow/worker.go
@@ -123,7 +123,7 @@
 // servingUse is the share of its processors that a task that serves uses at the
 // crest of its load. Where those and the tasks that fill want more than there
 // is, every tail grows.
-const servingUse = 0.7
+const servingUse = 0.45
 
 // clockDrift bounds how much slower a worker's clock runs, with some margin
 // over the 2% that the platform states.
