Bear faults that an emulated fleet showed

Cause and change, each seen failing in TestFaults or TestFaultsTogether first: - a new leader took an adopted run for one at full pace, so that a run which its predecessor had paused never went on; its pace is now unknown; - runs that were started on a worker born again, before that was known, were taken for ended; a report of the new life decides now; - a confirmation of ends for an old life could drop ends of the new one; after an unanswered hold nothing is confirmed; - leases of a worker without a reading of its clock counted as lapsed; the time counts from when orders were sent; - one step that was still patient hid the older steps of its image from every pass; the memory of a pass now tells patience apart; - a paused run had no way on; it goes on slowly after 6 s without a miss. Ruled out: worker-side leases in the emulator (settled before each check).

--- a/internal/emul/emul.go
+++ b/internal/emul/emul.go
@@ -42,6 +42,8 @@
 	order   []*Job
 	leaders []*Leader
 	store   store
+	// cutUntil is when a cut from the store last ended.
+	cutUntil time.Time
 
 	// Delay is how long a call takes each way.
 	Delay time.Duration
@@ -76,8 +78,11 @@
 	State sched.JobState
 
 	version sched.Version
-	done    map[sched.RunTask]bool
-	failed  map[sched.RunTask]int
+	// done and failed hold the ends that a leader has confirmed; fails counts
+	// all that failed, confirmed or not.
+	done   map[sched.RunTask]bool
+	failed map[sched.RunTask]int
+	fails  map[sched.RunTask]int
 }
 
 // New returns an emulator with a store and no workers.
@@ -176,7 +181,7 @@
 func (e *Emulator) Submit(w *sched.Workflow, work Work) *Job {
 	j := &Job{
 		Spec: w, Work: work, Submitted: e.now, version: e.store.next(),
-		done: map[sched.RunTask]bool{}, failed: map[sched.RunTask]int{},
+		done: map[sched.RunTask]bool{}, failed: map[sched.RunTask]int{}, fails: map[sched.RunTask]int{},
 	}
 	e.jobs[w.ID] = j
 	e.order = append(e.order, j)
--- a/internal/emul/load.go
+++ b/internal/emul/load.go
@@ -32,6 +32,8 @@
 	Poison float64
 	// Cancelled is the share of jobs that are cancelled within 3 s.
 	Cancelled float64
+	// Stay is the mean time until a lasting job is cancelled.
+	Stay time.Duration
 	// Spread is the share of jobs with at most one task of a step on a worker.
 	Spread float64
 	// Copies is the share of jobs whose tasks may run as copies.
@@ -93,6 +95,9 @@
 	if e.Rand.Float64() < c.Cancelled {
 		e.After(time.Duration(e.Rand.Int64N(int64(3*time.Second))), func() { e.Cancel(j) })
 	}
+	if c.Stay > 0 {
+		e.After(time.Duration(e.Rand.ExpFloat64()*float64(c.Stay)), func() { e.Cancel(j) })
+	}
 	return j
 }
 
@@ -121,7 +126,7 @@
 			Queue: sched.Queue{Name: "Lasting", Priority: 0, MaxAttempts: 3, Stretch: 2.2, Target: 2500 * time.Millisecond},
 			Rate:  0.18 * share, Steps: 1, Width: 6, Took: time.Second,
 			Need:   sched.Resources{CPU: 6400, Memory: 13 * gib},
-			Images: 5, Prefix: "serve", TailTarget: 18 * time.Millisecond, Lasting: true, Spread: 0.5,
+			Images: 5, Prefix: "serve", TailTarget: 18 * time.Millisecond, Lasting: true, Spread: 0.5, Stay: 70 * time.Second,
 		},
 	}
 }
--- a/internal/emul/store.go
+++ b/internal/emul/store.go
@@ -34,7 +34,10 @@
 }
 
 // SetStoreDown cuts the store off from everybody, or ends that.
-func (e *Emulator) SetStoreDown(down bool) { e.store.down = down }
+func (e *Emulator) SetStoreDown(down bool) {
+	e.store.down = down
+	e.cutUntil = e.now
+}
 
 // LoseCommits sets the share of commits that take effect without an answer.
 func (e *Emulator) LoseCommits(share float64) { e.store.lose = share }
@@ -156,6 +159,16 @@
 	return l
 }
 
+// Led reports whether a machine leads that is alive and the newest.
+func (e *Emulator) Led() bool {
+	for _, l := range e.leaders {
+		if l.term == e.store.term && !l.dead && l.Lost == "" {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *Leader) loop(d time.Duration, f func()) {
 	l.e.After(d, func() {
 		if l.dead || l.Lost != "" {
@@ -170,7 +183,10 @@
 func (l *Leader) Kill() { l.dead = true }
 
 // CutStore cuts the leader off from the store, or ends that.
-func (l *Leader) CutStore(cut bool) { l.storeCut = cut }
+func (l *Leader) CutStore(cut bool) {
+	l.storeCut = cut
+	l.e.cutUntil = l.e.now
+}
 
 // CutWorker cuts the leader off from a worker, or ends that.
 func (l *Leader) CutWorker(w *Worker, cut bool) { l.cut[w] = cut }
@@ -240,3 +256,6 @@
 	}
 	return n
 }
+
+// Newest returns the leader of the newest term.
+func (e *Emulator) Newest() *Leader { return e.leaders[len(e.leaders)-1] }
--- a/internal/emul/worker.go
+++ b/internal/emul/worker.go
@@ -111,6 +111,27 @@
 	w.e.After(after, w.Remove)
 }
 
+// SetSlow changes the factor by which work takes longer.
+func (w *Worker) SetSlow(factor float64) {
+	w.settle()
+	w.Slow = factor
+	w.replan()
+}
+
+// SetHang lets what runs stand still, or go on.
+func (w *Worker) SetHang(hang bool) {
+	w.settle()
+	w.Hang = hang
+	w.replan()
+}
+
+func (w *Worker) replan() {
+	for _, r := range w.sorted() {
+		r.since = w.e.now
+		w.plan(r)
+	}
+}
+
 // members returns the register of workers.
 func (e *Emulator) members() []sched.Member {
 	var out []sched.Member
--- /dev/null
+++ b/pkg/sched/flow/fault_test.go
@@ -0,0 +1,232 @@
+package flow_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mangoslip/mangoslip/internal/emul"
+	"github.com/mangoslip/mangoslip/pkg/sched"
+)
+
+// fault is a failure that strikes an emulated day.
+type fault struct {
+	name string
+	// strike begins the failure and arranges for its end.
+	strike func(e *emul.Emulator, l *emul.Leader)
+}
+
+const settle = 4 * time.Minute
+
+// share calls f for a share of the workers.
+func share(e *emul.Emulator, part float64, f func(w *emul.Worker)) {
+	for _, w := range e.Workers {
+		if e.Rand.Float64() < part {
+			f(w)
+		}
+	}
+}
+
+// faults are the failures that a day has to bear.
+func faults() []fault {
+	return []fault{
+		{"LeaderDies", func(e *emul.Emulator, l *emul.Leader) {
+			l.Kill()
+			e.After(1500*time.Millisecond, func() { e.Lead() })
+		}},
+		{"LeaderIsReplacedAndGoesOn", func(e *emul.Emulator, l *emul.Leader) {
+			l.CutStore(true)
+			e.After(1500*time.Millisecond, func() { e.Lead() })
+		}},
+		{"ReplacedLeaderReachesWorkersThatTheNewOneDoesNot", func(e *emul.Emulator, l *emul.Leader) {
+			l.CutStore(true)
+			e.After(1500*time.Millisecond, func() {
+				n := e.Lead()
+				share(e, 0.3, func(w *emul.Worker) {
+					n.CutWorker(w, true)
+					e.After(15*time.Second, func() { n.CutWorker(w, false) })
+				})
+			})
+		}},
+		{"LeaderDiesWhileWorkersAreDark", func(e *emul.Emulator, l *emul.Leader) {
+			share(e, 0.15, func(w *emul.Worker) { w.Crash(6 * time.Second) })
+			l.Kill()
+			e.After(1500*time.Millisecond, func() { e.Lead() })
+		}},
+		{"LeadersFollowEachOther", func(e *emul.Emulator, l *emul.Leader) {
+			for i := range 4 {
+				e.After(time.Duration(i)*900*time.Millisecond, func() { e.Lead() })
+			}
+		}},
+		{"StoreIsDown", func(e *emul.Emulator, _ *emul.Leader) {
+			e.SetStoreDown(true)
+			e.After(9*time.Second, func() { e.SetStoreDown(false) })
+		}},
+		{"LeaderDiesWhileStoreIsDown", func(e *emul.Emulator, l *emul.Leader) {
+			e.SetStoreDown(true)
+			e.After(2*time.Second, l.Kill)
+			e.After(5*time.Second, func() {
+				e.SetStoreDown(false)
+				e.Lead()
+			})
+		}},
+		{"AnswersOfTheStoreAreLost", func(e *emul.Emulator, l *emul.Leader) {
+			e.LoseCommits(0.35)
+			e.After(5*time.Second, l.Kill)
+			e.After(6500*time.Millisecond, func() { e.Lead() })
+			e.After(12*time.Second, func() { e.LoseCommits(0) })
+		}},
+		{"OrdersAreCarriedOutLate", func(e *emul.Emulator, _ *emul.Leader) {
+			e.Late = 0.06
+			e.After(8*time.Second, func() { e.Late = 0 })
+		}},
+		{"AnswersOfWorkersAreLost", func(e *emul.Emulator, _ *emul.Leader) {
+			e.LoseAnswers = 0.1
+			e.After(8*time.Second, func() { e.LoseAnswers = 0 })
+		}},
+		{"OrdersAreLateAndTheLeaderDies", func(e *emul.Emulator, l *emul.Leader) {
+			e.Late, e.LoseAnswers = 0.06, 0.05
+			e.After(2*time.Second, l.Kill)
+			e.After(3500*time.Millisecond, func() { e.Lead() })
+			e.After(10*time.Second, func() { e.Late, e.LoseAnswers = 0, 0 })
+		}},
+		{"WorkersCrash", func(e *emul.Emulator, _ *emul.Leader) {
+			share(e, 0.15, func(w *emul.Worker) { w.Crash(4500 * time.Millisecond) })
+		}},
+		{"WorkersAreBornAgainAtOnce", func(e *emul.Emulator, _ *emul.Leader) {
+			share(e, 0.3, func(w *emul.Worker) { w.Crash(20 * time.Millisecond) })
+		}},
+		{"WorkersAreGone", func(e *emul.Emulator, _ *emul.Leader) {
+			share(e, 0.15, func(w *emul.Worker) { w.Remove() })
+		}},
+		{"WorkersAreCutOffAndRunOn", func(e *emul.Emulator, l *emul.Leader) {
+			share(e, 0.2, func(w *emul.Worker) {
+				l.CutWorker(w, true)
+				e.After(5500*time.Millisecond, func() { l.CutWorker(w, false) })
+			})
+		}},
+		{"WorkersLeave", func(e *emul.Emulator, _ *emul.Leader) {
+			share(e, 0.2, func(w *emul.Worker) { w.Drain(4 * time.Second) })
+		}},
+		{"WorkersFailAllThatTheyStart", func(e *emul.Emulator, _ *emul.Leader) {
+			share(e, 0.1, func(w *emul.Worker) {
+				w.Fails = 1
+				e.After(6*time.Second, func() { w.Fails = 0 })
+			})
+		}},
+		{"WorkersTurnSlow", func(e *emul.Emulator, _ *emul.Leader) {
+			share(e, 0.17, func(w *emul.Worker) {
+				w.SetSlow(6.5)
+				e.After(7*time.Second, func() { w.SetSlow(1) })
+			})
+		}},
+		{"TasksStandStill", func(e *emul.Emulator, _ *emul.Leader) {
+			share(e, 0.1, func(w *emul.Worker) {
+				w.SetHang(true)
+				e.After(20*time.Second, func() { w.SetHang(false) })
+			})
+		}},
+	}
+}
+
+// Guards against a failure that makes a task run in two places or after its
+// end, lets a step start too early, shows a job in a state that is not true, or
+// leaves a job unfinished once the failure is over.
+func TestFaults(t *testing.T) {
+	for _, f := range faults() {
+		t.Run(f.name, func(t *testing.T) {
+			for seed := range uint64(4) {
+				e := newDay(seed+1, 24, 12*time.Second)
+				l := e.Lead()
+				e.RunFor(5 * time.Second)
+				f.strike(e, l)
+				e.RunFor(25 * time.Second)
+				requireSettled(t, e, settle)
+				requireSound(t, e)
+			}
+		})
+	}
+}
+
+// Guards against failures that are only harmful together: three of them strike
+// at random times, some of them twice.
+func TestFaultsTogether(t *testing.T) {
+	all := faults()
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			e := newDay(seed+100, 16, 10*time.Second)
+			l := e.Lead()
+			for range 3 {
+				f := all[e.Rand.IntN(len(all))]
+				e.After(time.Duration(e.Rand.Int64N(int64(12*time.Second))), func() { f.strike(e, l) })
+			}
+			e.RunFor(40 * time.Second)
+			if !e.Led() {
+				e.Lead()
+			}
+			requireSettled(t, e, settle)
+			requireSound(t, e)
+		})
+	}
+}
+
+// Guards against jobs that fail because of workers that fail everything: such
+// a job can be done elsewhere.
+func TestBadWorkersDoNotFailJobs(t *testing.T) {
+	e := emul.New(3)
+	e.AddWorkers(16, sched.Resources{CPU: 32000, Memory: 125 * gib})
+	e.AddQueue(sched.Queue{Name: "Q", MaxAttempts: 3, Stretch: 2, Target: time.Second})
+	for _, w := range e.Workers[:3] {
+		w.Fails = 1
+	}
+	e.Lead()
+	for range 60 {
+		e.Arrive(emul.Class{
+			Queue: sched.Queue{Name: "Q", MaxAttempts: 3}, Steps: 2, Width: 6, Took: time.Second,
+			Need: sched.Resources{CPU: 2000, Memory: gib},
+		})
+		e.RunFor(150 * time.Millisecond)
+	}
+	requireSettled(t, e, settle)
+	requireSound(t, e)
+	for _, j := range e.Jobs() {
+		require.Equal(t, sched.JobCompleted, j.State, "job %s", j.Spec.ID)
+	}
+}
+
+// Guards against a job that can never be done and is tried for ever.
+func TestHopelessJobFails(t *testing.T) {
+	e := emul.New(4)
+	e.AddWorkers(8, sched.Resources{CPU: 32000, Memory: 125 * gib})
+	e.AddQueue(sched.Queue{Name: "Q", MaxAttempts: 3})
+	e.Lead()
+	j := e.Arrive(emul.Class{
+		Queue: sched.Queue{Name: "Q", MaxAttempts: 3}, Steps: 1, Width: 4, Took: time.Second,
+		Need: sched.Resources{CPU: 2000, Memory: gib}, Poison: 1,
+	})
+	requireSettled(t, e, 30*time.Second)
+	requireSound(t, e)
+	require.Equal(t, sched.JobFailed, j.State)
+	e.RunFor(3 * time.Second)
+	require.Zero(t, e.Running())
+}
+
+// Guards against tasks of a cancelled job that run on or start later.
+func TestCancelledJobStops(t *testing.T) {
+	e := emul.New(5)
+	e.AddWorkers(8, sched.Resources{CPU: 32000, Memory: 125 * gib})
+	e.AddQueue(sched.Queue{Name: "Q"})
+	e.Lead()
+	j := e.Arrive(emul.Class{
+		Queue: sched.Queue{Name: "Q"}, Steps: 1, Width: 6, Lasting: true, Need: sched.Resources{CPU: 2000, Memory: gib},
+	})
+	e.RunFor(3 * time.Second)
+	require.NotZero(t, e.Running())
+	e.Cancel(j)
+	e.RunFor(time.Second)
+	require.Zero(t, e.Running())
+	require.Equal(t, sched.JobCancelled, j.State)
+	requireSound(t, e)
+}
--- a/pkg/sched/flow/hold.go
+++ b/pkg/sched/flow/hold.go
@@ -37,6 +37,10 @@
 	seen    uint64
 	waits   bool
 	more    bool
+	// continuous means that the last hold was answered. Only then are ends
+	// confirmed: after a silence another life may answer, and a confirmation
+	// meant for the old one would drop ends of the new one.
+	continuous bool
 }
 
 // tend sends a hold to a worker if one is due, and repeats stops.
@@ -92,7 +96,10 @@
 func (m *Machine) sendHold(w *worker, wait time.Duration) {
 	w.hold.seq++
 	w.hold.inCall, w.hold.sent, w.hold.seen, w.hold.waits = true, m.now, w.durable, wait > 0
-	o := sched.HoldOrder{Fence: m.term, Seen: w.durable, Wait: wait}
+	if !w.hold.continuous {
+		w.hold.seen = 0
+	}
+	o := sched.HoldOrder{Fence: m.term, Seen: w.hold.seen, Wait: wait}
 	// The leases of a worker that does not answer are left to lapse.
 	if w.hasClock && w.surveyed && !w.silent(m.now) && m.mayOrder {
 		o.HasDeadline, o.Deadline = true, w.extend(m.now, m.lease)
@@ -115,8 +122,7 @@
 
 // lapse ends the runs of a worker whose deadline has passed for certain.
 func (m *Machine) lapse(w *worker) {
-	m.note("leases lapsed", "worker", w.name(), "runs", len(w.runs), "deadline", w.deadline,
-		"clock", w.earliest(m.now), "contact", w.age(m.now))
+	m.note("leases lapsed", "worker", w.name(), "runs", len(w.runs), "contact", w.age(m.now))
 	for _, r := range w.snapshot() {
 		m.close(r, sched.EndLapsed, "")
 	}
@@ -140,7 +146,7 @@
 	w.hold.inCall = false
 	if msg.Err != nil {
 		m.lostContact(w, msg.Err)
-		w.hold.notFrom = m.now.Add(holdRetry)
+		w.hold.notFrom, w.hold.continuous = m.now.Add(holdRetry), false
 		return
 	}
 	switch msg.Report.Refusal {
@@ -167,15 +173,20 @@
 // report takes in what a worker lists.
 func (m *Machine) report(w *worker, msg HoldResultMsg) {
 	rep := &msg.Report
+	if rep.Born < w.member.Born {
+		m.tend(w) // An answer of an earlier life that was long on its way.
+		return
+	}
 	wasSuspected := w.suspected
 	if rep.Born > w.member.Born {
-		m.newLife(w, rep.Born, msg.Sent, "report")
+		m.newLife(w, rep.Born, "report")
 	}
 	w.observe(msg.Sent, m.now, rep.Clock)
 	if wasSuspected {
 		m.note("worker answers again", "worker", w.name(), "runs", len(w.runs))
 		m.stale = true
 	}
+	w.hold.continuous = true
 	w.confirmed = max(w.confirmed, w.hold.seen)
 	w.hold.more = len(rep.Ended) >= endsPerReport
 	first := !w.surveyed
@@ -183,7 +194,7 @@
 	m.takeRuns(w, msg.Sent, rep.Running)
 	if first {
 		// An earlier leader may have set a deadline as far ahead as that.
-		w.deadline = max(w.deadline, rep.Clock+m.leaseMost)
+		w.leased(m.now, m.leaseMost)
 	}
 	if first && !w.hold.more {
 		w.surveyed = true
@@ -279,6 +290,10 @@
 		first: m.now, sent: m.now, known: m.now, progressed: m.now, saved: rep.Saved, tries: 1,
 	}
 	r.pace.init()
+	if r.fills() {
+		// An earlier leader may have slowed it; workers do not report paces.
+		r.pace.have = paceUnknown
+	}
 	t.number = max(t.number, r.number)
 	wanted := (t.phase == phaseQueued || t.phase == phaseWaiting) && !t.job().state.Final()
 	others := len(t.runs)
--- a/pkg/sched/flow/pace.go
+++ b/pkg/sched/flow/pace.go
@@ -9,8 +9,7 @@
 
 // pace is the share of its speed at which a run that fills works, in percent.
 type pace struct {
-	// want is what the machine decided, have what the worker last confirmed;
-	// -1 if that is not known.
+	// want is what the machine decided, have what the worker last confirmed.
 	want, have int
 	inCall     bool
 	sent       time.Time
@@ -20,6 +19,9 @@
 
 const (
 	fullPace = 100
+	// paceUnknown stands for the pace of a run of which the worker last took
+	// an order without an answer, or one of another leader.
+	paceUnknown = -1
 	// figureWindow is the time that a reported figure covers.
 	figureWindow = 500 * time.Millisecond
 	// tailCalm is the tail, as a share of its target, below which caution is
@@ -39,6 +41,10 @@
 	// whatever is believed of it, and cautionStop the one that pauses.
 	cautionLeast = 0.3
 	cautionStop  = 0.1
+	// leastPace is the lowest pace above a pause, and pausePatience how long a
+	// run is paused until it goes on at that pace while no target is missed.
+	leastPace     = 20
+	pausePatience = 6 * time.Second
 	// movePace is the pace below which a run is better off elsewhere, and
 	// moveAfter how long it has to be that low.
 	movePace  = 60
@@ -56,7 +62,7 @@
 	case share >= 0.35:
 		return 50
 	case share >= cautionStop:
-		return 20
+		return leastPace
 	default:
 		return 0
 	}
@@ -136,7 +142,12 @@
 	case risk >= goodPair || w.caution < cautionLeast:
 		share = w.caution
 	}
-	return paceLevel(share)
+	level := paceLevel(share)
+	low := r.pace.lowSince
+	if level == 0 && !low.IsZero() && m.now.Sub(low) > pausePatience && w.worstTail() <= 1 {
+		return leastPace
+	}
+	return level
 }
 
 // riskyCPU returns the processors of the runs that fill a worker and do not get
@@ -202,7 +213,7 @@
 		r.pace.have = msg.Percent
 	case msg.Err != nil && !errors.Is(msg.Err, sched.ErrUnavailable):
 		// It may have been carried out, or may be later.
-		r.pace.have = -1
+		r.pace.have = paceUnknown
 		m.lostContact(w, msg.Err)
 	case msg.Err != nil:
 		m.lostContact(w, msg.Err)
--- a/pkg/sched/flow/schedule.go
+++ b/pkg/sched/flow/schedule.go
@@ -148,6 +148,20 @@
 	fills    bool
 	image    string
 	lasting  bool
+	// patience counts the bounds on waiting that the task has passed: each
+	// opens workers to it that are closed to others.
+	patience int
+}
+
+// patience returns how many bounds on waiting a task has passed.
+func (m *Machine) patience(t *task) int {
+	n := 0
+	for _, bound := range []time.Duration{reservePatience, riskPatience} {
+		if m.now.Sub(t.queuedAt) >= bound {
+			n++
+		}
+	}
+	return n
 }
 
 // step places the waiting tasks of a step.
@@ -166,15 +180,16 @@
 		f.image = s.spec.Image
 	}
 	need := s.spec.Need()
-	if low, tried := p.failed[f]; tried && low.Fits(need) {
-		p.m.block(s, "no room")
-		p.short = append(p.short, s)
-		return
-	}
 	for _, t := range s.tasks {
 		if t.phase != phaseQueued || p.starts >= startsPerPass {
 			continue
 		}
+		f.patience = p.m.patience(t)
+		if low, tried := p.failed[f]; tried && low.Fits(need) {
+			p.m.block(s, "no room")
+			p.short = append(p.short, s)
+			return
+		}
 		if t.doubted && p.m.recovery.active {
 			p.m.block(s, "an earlier run may still be there")
 			continue
--- a/pkg/sched/flow/worker.go
+++ b/pkg/sched/flow/worker.go
@@ -41,8 +41,9 @@
 	clock    time.Duration
 	clockAt  time.Time
 	hasClock bool
-	// deadline is the highest deadline that was ever sent.
-	deadline time.Duration
+	// lapseAt is when everything that was ever ordered has surely ended, if
+	// nothing more is ordered.
+	lapseAt time.Time
 
 	contactAt time.Time
 	// silentSince is when the first of a row of calls without an answer was
@@ -146,14 +147,24 @@
 
 // extend returns a deadline a lease ahead on the worker's clock.
 func (w *worker) extend(now time.Time, lease time.Duration) time.Duration {
-	d := w.clock + now.Sub(w.clockAt) + lease
-	w.deadline = max(w.deadline, d)
-	return d
+	w.leased(now, lease)
+	return w.clock + now.Sub(w.clockAt) + lease
+}
+
+// leased notes that what the worker runs may last for a lease from now on, by
+// a clock that may be slow.
+func (w *worker) leased(now time.Time, lease time.Duration) {
+	until := now.Add(time.Duration(float64(lease)*clockDrift) + orderSlack)
+	if until.After(w.lapseAt) {
+		w.lapseAt = until
+	}
 }
 
 // lapsed reports whether everything that was ever ordered has surely ended.
+// The time counts from when orders were sent: a deadline is a reading of the
+// worker's clock, so it does not matter how late an order is carried out.
 func (w *worker) lapsed(now time.Time) bool {
-	return w.hasClock && w.earliest(now) > w.deadline
+	return !w.lapseAt.IsZero() && now.After(w.lapseAt)
 }
 
 // suspect notes a call without an answer.
@@ -210,7 +221,7 @@
 		w.listed = true
 	}
 	if mb.Born > w.member.Born {
-		m.newLife(w, mb.Born, m.now, "register")
+		m.newLife(w, mb.Born, "register")
 	}
 	if mb.Draining != w.member.Draining {
 		m.note("worker draining", "worker", mb.Worker, "draining", mb.Draining, "left", mb.DrainLeft, "runs", len(w.runs))
@@ -233,21 +244,17 @@
 	return w
 }
 
-// newLife handles a worker that was born again under its name: everything that
-// ran there has ended, and its numbers start anew. Runs whose start has no
-// answer yet may belong to the new life.
-func (m *Machine) newLife(w *worker, born int64, sent time.Time, source string) {
+// newLife handles a worker that was born again under its name: its numbers
+// start anew. What ran there before has ended, but runs of the new life may have
+// been started before it was known, so the next report tells which is which.
+func (m *Machine) newLife(w *worker, born int64, source string) {
 	m.note("worker born again", "worker", w.name(), "born", born, "before", w.member.Born, "source", source,
 		"runs", len(w.runs))
 	w.member.Born = born
 	w.processed, w.durable, w.confirmed, w.pending = 0, 0, 0, nil
-	w.hasClock, w.clock, w.deadline, w.surveyed, w.replaced = false, 0, 0, false, false
+	w.hasClock, w.clock, w.surveyed, w.replaced = false, 0, false, false
+	w.hold.continuous = false
 	w.trust = trust{}
-	for _, r := range w.snapshot() {
-		if !r.known.IsZero() && r.known.Before(sent) {
-			m.close(r, sched.EndGone, "")
-		}
-	}
 }
 
 // dropWorkers forgets workers that left the register and run nothing.
