Watch from the store's version, and back off from a store that fails

Cause: watches began at the version of the item that was read. Change: the leader's key and the configuration are read as a range, which tells the store's version to watch from; failed calls back off up to 0.7 s.

--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"github.com/mangoslip/mangoslip/pkg/sched"
 )
 
@@ -14,31 +15,43 @@
 	configEvery   = 900 * time.Millisecond
 	configTimeout = 500 * time.Millisecond
 	watchWait     = 3 * time.Second
-	retryPause    = 150 * time.Millisecond
+	// retryPause is the first pause after a call that failed, retryMost the
+	// longest, and retrySpread the random part. A configuration is in force 2 s
+	// after it was accepted, so a store that is back is found soon.
+	retryPause  = 150 * time.Millisecond
+	retryMost   = 600 * time.Millisecond
+	retrySpread = 0.3
 )
 
+// newRetry returns the pauses between calls to a store that does not answer.
+func newRetry() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval, b.RandomizationFactor = retryPause, retryMost, retrySpread
+	b.Multiplier = 2
+	b.Reset()
+	return b
+}
+
 // followConfig keeps the newest configuration in force.
 func (e *Entry) followConfig(ctx context.Context) {
 	e.t.Go(func() error { e.watchConfig(ctx); return nil })
 	lost := false
+	retry := newRetry()
 	for ctx.Err() == nil {
-		item, err := e.readConfig(ctx)
-		switch {
-		case err == nil:
-			e.applyConfig(item, "read")
-		case errors.Is(err, sched.ErrNotFound):
-		default:
+		_, err := e.readConfig(ctx)
+		if err != nil {
 			if !lost {
 				e.log.Warn("store lost", "step", "read configuration", "error", err)
 			}
 			lost = true
-			pause(ctx, retryPause)
+			pause(ctx, retry.NextBackOff())
 			continue
 		}
 		if lost {
 			e.log.Info("store regained", "step", "read configuration")
 			lost = false
 		}
+		retry.Reset()
 		if e.configSet.Load() {
 			pause(ctx, configEvery)
 		} else {
@@ -47,32 +60,41 @@
 	}
 }
 
-func (e *Entry) readConfig(ctx context.Context) (sched.Item, error) {
+// readConfig reads the configuration, applies it, and returns the version of
+// the store.
+func (e *Entry) readConfig(ctx context.Context) (sched.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, configTimeout)
 	defer cancel()
-	item, err := e.Store.Get(ctx, e.ConfigKey)
+	items, version, err := e.Store.Range(ctx, e.ConfigKey, false)
 	e.jobs.Health().Note(err)
-	return item, err
+	for _, i := range items {
+		if i.Key == e.ConfigKey {
+			e.applyConfig(i, "read")
+		}
+	}
+	return version, err
 }
 
 // watchConfig applies configurations as they are written.
 func (e *Entry) watchConfig(ctx context.Context) {
 	var after sched.Version
+	retry := newRetry()
 	for ctx.Err() == nil {
 		if after == 0 {
-			item, err := e.readConfig(ctx)
+			version, err := e.readConfig(ctx)
 			if err != nil {
-				pause(ctx, retryPause)
+				pause(ctx, retry.NextBackOff())
 				continue
 			}
-			after = item.Version
+			after = version
 		}
 		changes, next, err := e.Store.Watch(ctx, e.ConfigKey, after, watchWait)
 		if err != nil {
 			after = 0
-			pause(ctx, retryPause)
+			pause(ctx, retry.NextBackOff())
 			continue
 		}
+		retry.Reset()
 		after = next
 		for _, c := range changes {
 			if !c.Removed && c.Key == e.ConfigKey {
--- a/internal/leader/elect.go
+++ b/internal/leader/elect.go
@@ -16,36 +16,40 @@
 // reached meanwhile.
 func (l *Leader) follow(ctx context.Context) (seat, bool) {
 	outage := false
+	retry := newRetry()
 	for ctx.Err() == nil {
-		leader, err := l.store.Get(ctx, layout.LeaderKey)
-		switch {
-		case errors.Is(err, sched.ErrNotFound):
+		// A range tells the store's version, from which a watch can start. The
+		// item's own version may be older than the history that is kept.
+		items, version, err := l.store.Range(ctx, layout.LeaderKey, false)
+		if err == nil && len(items) == 0 {
 			term, err := l.store.Get(ctx, layout.TermKey)
 			if err == nil || errors.Is(err, sched.ErrNotFound) {
 				return seat{term}, outage
 			}
-		case err == nil:
-			outage = l.watchLeader(ctx, leader)
+		}
+		if err == nil && len(items) > 0 {
+			retry.Reset()
+			outage = l.watchLeader(ctx, items[0], version)
 			continue
 		}
 		if !outage {
 			l.log.Warn("store lost", "step", "read leader", "error", err)
 		}
 		outage = true
-		pause(ctx, retryPause)
+		pause(ctx, retry.NextBackOff())
 	}
 	return seat{}, outage
 }
 
 // watchLeader returns when the leader's key may have been removed. It reports
 // whether the store was not reached.
-func (l *Leader) watchLeader(ctx context.Context, item sched.Item) bool {
+func (l *Leader) watchLeader(ctx context.Context, item sched.Item, after sched.Version) bool {
 	l.learn(item)
-	after := item.Version
 	for ctx.Err() == nil {
 		changes, next, err := l.store.Watch(ctx, layout.LeaderKey, after, watchWait)
 		switch {
 		case errors.Is(err, sched.ErrCompacted):
+			pause(ctx, retryPause)
 			return false
 		case err != nil:
 			l.log.Warn("store lost", "step", "watch leader", "error", err)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -24,6 +24,8 @@
 	"sync"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"github.com/mangoslip/mangoslip/internal/layout"
 	"github.com/mangoslip/mangoslip/internal/stats"
 	"github.com/mangoslip/mangoslip/pkg/sched"
@@ -43,8 +45,12 @@
 	tickEvery    = 50 * time.Millisecond
 	// watchWait bounds a watch, so that a connection that fell silent is
 	// noticed.
-	watchWait  = 3 * time.Second
-	retryPause = 150 * time.Millisecond
+	watchWait = 3 * time.Second
+	// retryPause is the first pause after a call that failed, retryMost the
+	// longest, and retrySpread the random part.
+	retryPause  = 150 * time.Millisecond
+	retryMost   = 700 * time.Millisecond
+	retrySpread = 0.3
 	// campaignSpread spreads the entries that campaign at once.
 	campaignSpread = 40 * time.Millisecond
 	// handicap is how much longer an entry with little processor time waits
@@ -262,6 +268,16 @@
 	}
 }
 
+// newRetry returns the pauses between calls to a store that does not answer:
+// every call counts against the shared rate, refused ones included.
+func newRetry() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval, b.RandomizationFactor = retryPause, retryMost, retrySpread
+	b.Multiplier = 2
+	b.Reset()
+	return b
+}
+
 // pause waits for a time or the end of ctx.
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -13,6 +13,7 @@
 // watchWork delivers jobs, cancellations and newer terms as they are written.
 func (t *term) watchWork(after sched.Version) {
 	lost := false
+	retry := newRetry()
 	for t.ctx.Err() == nil {
 		changes, next, err := t.l.store.Watch(t.ctx, layout.WorkPrefix, after, watchWait)
 		switch {
@@ -26,12 +27,13 @@
 				t.l.log.Warn("store lost", "step", "watch work", "after", after, "error", err)
 			}
 			lost = true
-			pause(t.ctx, retryPause)
+			pause(t.ctx, retry.NextBackOff())
 			continue
 		}
 		if lost {
 			t.l.log.Info("store regained", "step", "watch work", "after", after)
 			lost = false
+			retry.Reset()
 		}
 		for _, c := range changes {
 			t.postWork(c, nil)
@@ -85,6 +87,7 @@
 // rather than watched: every heartbeat of every worker would be an event.
 func (t *term) watchMembers() {
 	lost := false
+	retry := newRetry()
 	for t.ctx.Err() == nil {
 		items, _, err := t.l.store.Range(t.ctx, t.l.MembersPrefix, false)
 		switch {
@@ -93,6 +96,7 @@
 				t.l.log.Info("store regained", "step", "read workers")
 			}
 			lost = false
+			retry.Reset()
 			t.postMembers(items)
 			pause(t.ctx, membersEvery)
 		default:
@@ -100,7 +104,7 @@
 				t.l.log.Warn("store lost", "step", "read workers", "error", err)
 			}
 			lost = true
-			pause(t.ctx, retryPause)
+			pause(t.ctx, retry.NextBackOff())
 		}
 	}
 }
