Rate workers once for all tasks of a step

Cause: on a grown site 2,900 lasting tasks arrive at once; each was rated on 490 workers, and each rating of an empty worker counted all of them, so the leader used up its processor, missed renewals, and terms followed each other (nothing ran, LOST 513). Change: the tasks of a step share a heap of ratings, the shares of a pass and the likeness of images are cached, and passes are 8 ms apart. The emulator now delivers terms in the order of jobs, as the watch does.

--- a/internal/emul/store.go
+++ b/internal/emul/store.go
@@ -126,6 +126,9 @@
 	wall := flow.WithWall(func(now time.Time) int64 { return now.UnixMilli() })
 	l := &Leader{e: e, term: s.term, cut: map[*Worker]bool{}}
 	l.Machine = flow.New(s.term, append([]flow.Option{wall}, opts...)...)
+	for _, old := range e.leaders {
+		old.depose()
+	}
 	e.leaders = append(e.leaders, l)
 	l.post(flow.ConfirmedMsg{Asked: e.now})
 	l.post(flow.ConfigMsg{Fleet: e.Fleet})
@@ -191,6 +194,18 @@
 // CutWorker cuts the leader off from a worker, or ends that.
 func (l *Leader) CutWorker(w *Worker, cut bool) { l.cut[w] = cut }
 
+// depose tells a leader of a newer term, as the watch does that also delivers
+// jobs: it learns of the term before it learns of any later job.
+func (l *Leader) depose() {
+	l.e.After(watchDelay, func() {
+		if l.storeCut || l.e.store.down {
+			l.depose()
+			return
+		}
+		l.Lost = "a newer term exists in the store"
+	})
+}
+
 // hear delivers a change of the store, as a watch does.
 func (l *Leader) hear(msg sched.Msg) {
 	l.e.After(watchDelay, func() {
--- a/pkg/sched/flow/day_test.go
+++ b/pkg/sched/flow/day_test.go
@@ -60,3 +60,11 @@
 		e.RunFor(30 * time.Second)
 	}
 }
+
+func BenchmarkGrownDay(b *testing.B) {
+	for range b.N {
+		e := newDay(1, 480, 15*time.Second)
+		e.Lead()
+		e.RunFor(15 * time.Second)
+	}
+}
--- a/pkg/sched/flow/disturb.go
+++ b/pkg/sched/flow/disturb.go
@@ -19,6 +19,8 @@
 	// them; both are made anew when a belief has changed.
 	hostile map[string]float64
 	fills   []string
+	// differ caches how differently two images that serve are disturbed.
+	differ map[[2]string]float64
 }
 
 // imagePair names the image of a task that serves and of one that fills.
@@ -57,6 +59,7 @@
 func (d *disturb) init() {
 	d.odds = map[imagePair]float64{}
 	d.hostile = map[string]float64{}
+	d.differ = map[[2]string]float64{}
 }
 
 // belief returns the probability that two images do not get along.
@@ -81,6 +84,7 @@
 
 // refresh brings the caches up to date after a belief on an image changed.
 func (d *disturb) refresh(fills string, first bool) {
+	clear(d.differ)
 	bad, all := 0, 0
 	for k, l := range d.odds {
 		if k.fills != fills {
@@ -107,6 +111,17 @@
 // unlike returns how differently two images that serve are disturbed, from 0
 // to 1; a half if too little is known.
 func (d *disturb) unlike(a, b string) float64 {
+	k := [2]string{a, b}
+	v, ok := d.differ[k]
+	if !ok {
+		v = d.compare(a, b)
+		d.differ[k] = v
+	}
+	return v
+}
+
+// compare works out how differently two images are disturbed.
+func (d *disturb) compare(a, b string) float64 {
 	sum, n := 0.0, 0
 	for k := range d.odds {
 		if k.serves != a {
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -75,6 +75,7 @@
 	preemptedAt time.Time
 	// spare caches the free room of the workers.
 	spare spareRoom
+	open  openShare
 	// tidiedAt is when the mix of images was last looked at.
 	tidiedAt time.Time
 	lost     bool
--- a/pkg/sched/flow/place.go
+++ b/pkg/sched/flow/place.go
@@ -174,6 +174,9 @@
 
 // freeShare returns the share of the usable workers on which no task serves.
 func (m *Machine) freeShare() float64 {
+	if m.open.at.Equal(m.now) {
+		return m.open.share
+	}
 	free, all := 0, 0
 	for _, w := range m.order {
 		if !m.usable(w) {
@@ -184,7 +187,14 @@
 			free++
 		}
 	}
-	return float64(free) / float64(max(all, 1))
+	m.open = openShare{m.now, float64(free) / float64(max(all, 1))}
+	return m.open.share
+}
+
+// openShare is the share of the workers on which no task serves, at a time.
+type openShare struct {
+	at    time.Time
+	share float64
 }
 
 // scarcity returns how much rarer workers are for an image that a worker is
--- /dev/null
+++ b/pkg/sched/flow/rank.go
@@ -0,0 +1,95 @@
+package flow
+
+import (
+	"container/heap"
+
+	"github.com/mangoslip/mangoslip/pkg/sched"
+)
+
+// ranking holds the workers that may take the tasks of one step, the best
+// first. The tasks of a step ask for the same, so each worker is rated once,
+// and again only after it took a task.
+type ranking struct {
+	m        *Machine
+	q        sched.Queue
+	heap     ranks
+	made     bool
+	patience int
+}
+
+// rank is a worker with its rating.
+type rank struct {
+	w     *worker
+	score float64
+	// order keeps equal ratings in the order of the workers.
+	order int
+}
+
+type ranks []rank
+
+func (r ranks) Len() int { return len(r) }
+func (r ranks) Less(i, j int) bool {
+	if r[i].score != r[j].score {
+		return r[i].score > r[j].score
+	}
+	return r[i].order < r[j].order
+}
+func (r ranks) Swap(i, j int) { r[i], r[j] = r[j], r[i] }
+func (r *ranks) Push(x any)   { *r = append(*r, x.(rank)) }
+func (r *ranks) Pop() any {
+	old := *r
+	x := old[len(old)-1]
+	*r = old[:len(old)-1]
+	return x
+}
+
+// best returns the worker on which a task starts, or nil. A task that avoids
+// workers is rated by itself.
+func (r *ranking) best(t *task, patience int) *worker {
+	if len(t.avoid) > 0 {
+		return r.m.choose(t, r.q)
+	}
+	if !r.made || r.patience != patience {
+		r.make(t, patience)
+	}
+	for len(r.heap) > 0 {
+		top := r.heap[0]
+		if r.m.permitted(t, top.w, r.q) {
+			return top.w
+		}
+		heap.Pop(&r.heap)
+	}
+	return nil
+}
+
+// make rates all workers for the tasks of t's step.
+func (r *ranking) make(t *task, patience int) {
+	r.made, r.patience = true, patience
+	r.heap = r.heap[:0]
+	for i, w := range r.m.order {
+		if !r.m.permitted(t, w, r.q) {
+			continue
+		}
+		if score, ok := r.m.score(t, w); ok {
+			r.heap = append(r.heap, rank{w, score, i})
+		}
+	}
+	heap.Init(&r.heap)
+}
+
+// placed rates a worker anew after it took a task.
+func (r *ranking) placed(t *task, w *worker) {
+	for i := range r.heap {
+		if r.heap[i].w != w {
+			continue
+		}
+		score, ok := r.m.score(t, w)
+		if !ok || !r.m.permitted(t, w, r.q) {
+			heap.Remove(&r.heap, i)
+			return
+		}
+		r.heap[i].score = score
+		heap.Fix(&r.heap, i)
+		return
+	}
+}
--- a/pkg/sched/flow/schedule.go
+++ b/pkg/sched/flow/schedule.go
@@ -9,9 +9,9 @@
 
 const (
 	// passGap is the shortest time between two passes over the waiting tasks.
-	passGap = 4 * time.Millisecond
+	passGap = 8 * time.Millisecond
 	// startsPerPass bounds the starts that one pass orders.
-	startsPerPass = 64
+	startsPerPass = 32
 )
 
 // schedule places waiting tasks, the most urgent first.
@@ -180,6 +180,7 @@
 		f.image = s.spec.Image
 	}
 	need := s.spec.Need()
+	ranks := ranking{m: p.m, q: q}
 	for _, t := range s.tasks {
 		if t.phase != phaseQueued || p.starts >= startsPerPass {
 			continue
@@ -194,7 +195,7 @@
 			p.m.block(s, "an earlier run may still be there")
 			continue
 		}
-		w := p.m.choose(t, q)
+		w := ranks.best(t, f.patience)
 		if w == nil {
 			p.m.block(s, "no room")
 			p.short = append(p.short, s)
@@ -206,6 +207,7 @@
 		s.blocked = ""
 		p.starts++
 		p.m.begin(t, w, p.m.nextNumber(t))
+		ranks.placed(t, w)
 	}
 }
 
