Test the election and the job service in virtual time

Cause: both had no test of their own. Found: a planned stop and a renewal could hold a lock across calls to the store; the lease now passes through a channel of one place. Package memory stands in for the platform's store.

--- /dev/null
+++ b/internal/jobs/jobs_test.go
@@ -0,0 +1,175 @@
+package jobs_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mangoslip/mangoslip/internal/jobs"
+	"github.com/mangoslip/mangoslip/internal/layout"
+	"github.com/mangoslip/mangoslip/internal/memory"
+	"github.com/mangoslip/mangoslip/internal/relay"
+	"github.com/mangoslip/mangoslip/pkg/sched"
+)
+
+// noLeader is an entry that neither leads nor knows who does.
+type noLeader struct{}
+
+func (noLeader) Current() layout.Leader                         { return layout.Leader{} }
+func (noLeader) State(sched.JobID) (sched.JobState, bool, bool) { return 0, false, false }
+func (noLeader) Waiting(sched.QueueName) (int, bool)            { return 0, false }
+func (noLeader) Heard(layout.Leader)                            {}
+
+// others is a list of entries that answer with their services.
+type others []*jobs.Service
+
+func (o others) List() []layout.Entry {
+	out := make([]layout.Entry, len(o))
+	for i := range o {
+		out[i].Name = sched.EntryName(string(rune('a' + i)))
+	}
+	return out
+}
+
+func (o others) Ask(ctx context.Context, e layout.Entry, q relay.Question) (relay.Answer, error) {
+	return o[int(e.Name[0]-'a')].Answer(ctx, q), nil
+}
+
+func job(id sched.JobID) *sched.Workflow {
+	return &sched.Workflow{ID: id, Queue: "Q", Steps: []sched.StepSpec{{Count: 1}}}
+}
+
+// requireRefused asserts how a request was refused.
+func requireRefused(t *testing.T, err error, reason sched.Reason, outcome sched.Outcome) {
+	t.Helper()
+	refusal := (*sched.Refusal)(nil)
+	require.ErrorAs(t, err, &refusal)
+	require.Equal(t, reason, refusal.Reason)
+	require.Equal(t, outcome, refusal.Outcome)
+}
+
+func request(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// Guards against a job that is stored twice, and against a repeat that is
+// refused although the job was accepted.
+func TestSubmitOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		s := jobs.New(store.Client(), noLeader{}, others{})
+		require.NoError(t, s.Submit(request(t), job("1")))
+		first, err := store.Client().Get(t.Context(), layout.JobKey("1"))
+		require.NoError(t, err)
+		require.NoError(t, s.Submit(request(t), job("1")))
+		second, err := store.Client().Get(t.Context(), layout.JobKey("1"))
+		require.NoError(t, err)
+		require.Equal(t, first.Version, second.Version)
+	})
+}
+
+// Guards against a refusal that says that a job was not accepted although the
+// write may have taken effect.
+func TestSubmitLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		s := jobs.New(store.Client(), noLeader{}, others{})
+		store.LoseNext(1)
+		require.NoError(t, s.Submit(request(t), job("1")), "the repeat finds the job")
+	})
+}
+
+// Guards against a request that is held while it is known that it cannot be
+// accepted.
+func TestSubmitRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		store.SetDown(true)
+		s := jobs.New(store.Client(), noLeader{}, others{})
+		began := time.Now()
+		requireRefused(t, s.Submit(request(t), job("1")), sched.ReasonStoreUnavailable, sched.NotRun)
+		require.Less(t, time.Since(began), 100*time.Millisecond)
+	})
+}
+
+// Guards against an entry that refuses what another one could record.
+func TestSubmitThroughAnotherEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		cut := store.Client()
+		cut.Cut(true)
+		other := jobs.New(store.Client(), noLeader{}, others{})
+		s := jobs.New(cut, noLeader{}, others{other})
+		require.NoError(t, s.Submit(request(t), job("1")))
+		_, err := store.Client().Get(t.Context(), layout.JobKey("1"))
+		require.NoError(t, err)
+	})
+}
+
+// Guards against two entries that pass a request back and forth.
+func TestNoSecondHop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		store.SetDown(true)
+		a := jobs.New(store.Client(), noLeader{}, others{})
+		b := jobs.New(store.Client(), noLeader{}, others{a})
+		answer := b.Answer(request(t), relay.Question{Verb: relay.VerbSubmit, Job: "1", Workflow: job("1")})
+		require.Equal(t, sched.ReasonStoreUnavailable, answer.Reason)
+		require.Equal(t, sched.NotRun, answer.Outcome)
+	})
+}
+
+// Guards against an accepted job that is said not to exist, and against a
+// statement on a job while nobody can know.
+func TestState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		client := store.Client()
+		s := jobs.New(client, noLeader{}, others{})
+		_, err := s.State(request(t), "1")
+		requireRefused(t, err, sched.ReasonUnknownJob, sched.NotRun)
+		require.NoError(t, s.Submit(request(t), job("1")))
+		state, err := s.State(request(t), "1")
+		require.NoError(t, err)
+		require.Equal(t, sched.JobQueued, state)
+		client.Cut(true)
+		_, err = s.State(request(t), "2")
+		requireRefused(t, err, sched.ReasonStoreUnavailable, sched.NotRun)
+		client.Cut(false)
+		require.NoError(t, s.Cancel(request(t), "1"))
+		state, err = s.State(request(t), "1")
+		require.NoError(t, err)
+		require.Equal(t, sched.JobCancelled, state)
+	})
+}
+
+// Guards against a cancellation of a job that nobody submitted.
+func TestCancelUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := jobs.New(memory.New().Client(), noLeader{}, others{})
+		requireRefused(t, s.Cancel(request(t), "1"), sched.ReasonUnknownJob, sched.NotRun)
+	})
+}
+
+// Guards against a store that counts as lost because of answers that it gave.
+func TestHealth(t *testing.T) {
+	var h jobs.Health
+	for _, err := range []error{sched.ErrNotFound, sched.ErrConflict, context.Canceled} {
+		h.Note(err)
+		h.Note(err)
+		require.False(t, h.Lost(), "%v", err)
+	}
+	h.Note(errors.New("reset"))
+	require.False(t, h.Lost())
+	h.Note(errors.New("reset"))
+	require.True(t, h.Lost())
+	h.Note(nil)
+	require.False(t, h.Lost())
+}
--- /dev/null
+++ b/internal/leader/leader_test.go
@@ -0,0 +1,359 @@
+package leader_test
+
+import (
+	"context"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mangoslip/mangoslip/internal/layout"
+	"github.com/mangoslip/mangoslip/internal/leader"
+	"github.com/mangoslip/mangoslip/internal/memory"
+	"github.com/mangoslip/mangoslip/pkg/sched"
+)
+
+// workers carries out orders at once; every run succeeds after a time.
+type workers struct {
+	mu    sync.Mutex
+	took  time.Duration
+	fence uint64
+	seq   uint64
+	runs  map[sched.Run]time.Time
+	ends  []sched.RunEnd
+	// starts counts the starts of each task.
+	starts map[sched.RunTask]int
+	fenced int
+}
+
+func newWorkers(took time.Duration) *workers {
+	return &workers{took: took, runs: map[sched.Run]time.Time{}, starts: map[sched.RunTask]int{}}
+}
+
+// settle ends the runs whose time is up.
+func (w *workers) settle() {
+	for r, at := range w.runs {
+		if time.Since(at) >= w.took {
+			delete(w.runs, r)
+			w.seq++
+			w.ends = append(w.ends, sched.RunEnd{Seq: w.seq, Run: r, How: sched.EndDone})
+		}
+	}
+}
+
+// refuses applies the fence.
+func (w *workers) refuses(fence uint64) bool {
+	if fence < w.fence {
+		w.fenced++
+		return true
+	}
+	w.fence = fence
+	return false
+}
+
+func (w *workers) reply(refusal sched.OrderRefusal) sched.OrderReply {
+	return sched.OrderReply{Refusal: refusal, Clock: time.Second, HasClock: true}
+}
+
+func (w *workers) Start(_ context.Context, _ sched.Member, o sched.StartOrder) (sched.OrderReply, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.settle()
+	if w.refuses(o.Fence) {
+		return w.reply(sched.OrderFenced), nil
+	}
+	w.starts[o.Run.Task]++
+	w.runs[o.Run] = time.Now()
+	return w.reply(sched.OrderAccepted), nil
+}
+
+func (w *workers) Stop(_ context.Context, _ sched.Member, o sched.StopOrder) (sched.OrderReply, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.refuses(o.Fence) {
+		return w.reply(sched.OrderFenced), nil
+	}
+	if _, ok := w.runs[o.Run]; ok {
+		delete(w.runs, o.Run)
+		w.seq++
+		w.ends = append(w.ends, sched.RunEnd{Seq: w.seq, Run: o.Run, How: sched.EndStopped})
+	}
+	return w.reply(sched.OrderAccepted), nil
+}
+
+func (w *workers) Pace(context.Context, sched.Member, sched.PaceOrder) (sched.OrderReply, error) {
+	return w.reply(sched.OrderAccepted), nil
+}
+
+func (w *workers) Hold(ctx context.Context, _ sched.Member, o sched.HoldOrder) (sched.HoldReport, error) {
+	deadline := time.Now().Add(o.Wait)
+	for {
+		w.mu.Lock()
+		w.settle()
+		if w.refuses(o.Fence) {
+			w.mu.Unlock()
+			return sched.HoldReport{Refusal: sched.OrderFenced, Clock: time.Second}, nil
+		}
+		for len(w.ends) > 0 && w.ends[0].Seq <= o.Seen {
+			w.ends = w.ends[1:]
+		}
+		if len(w.ends) > 0 || !time.Now().Before(deadline) {
+			rep := sched.HoldReport{Clock: time.Second, Born: 1, Ended: append([]sched.RunEnd(nil), w.ends...)}
+			for r := range w.runs {
+				rep.Running = append(rep.Running, sched.RunReport{Run: r})
+			}
+			w.mu.Unlock()
+			return rep, nil
+		}
+		w.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return sched.HoldReport{}, sched.ErrLost
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// site is a store, a worker and entries that may lead.
+type site struct {
+	t       *testing.T
+	store   *memory.Store
+	workers *workers
+	entries []*entry
+}
+
+type entry struct {
+	*leader.Leader
+	client *memory.Client
+	stop   context.CancelFunc
+	done   chan struct{}
+}
+
+const membersPrefix = "Members/"
+
+func newSite(t *testing.T, entries int, took time.Duration) *site {
+	s := &site{t: t, store: memory.New(), workers: newWorkers(took)}
+	s.store.Put(membersPrefix+"w1", nil)
+	for i := range entries {
+		s.join(string(rune('a' + i)))
+	}
+	return s
+}
+
+// join adds an entry.
+func (s *site) join(name string) *entry {
+	client := s.store.Client()
+	l := leader.New(leader.Settings{
+		Name: sched.EntryName(name), Processors: 1, MembersPrefix: membersPrefix, Members: members,
+	}, client, s.workers, leader.WithAnnouncer(func(v layout.Leader) {
+		for _, e := range s.entries {
+			if e.Current().Name != v.Name {
+				go e.Heard(v)
+			}
+		}
+	}))
+	l.SetFleet(&sched.Fleet{
+		Revision: 1,
+		Queues:   map[sched.QueueName]sched.Queue{"Q": {Name: "Q", Service: "S", MaxAttempts: 3}},
+		Pools:    map[sched.ServiceName]sched.Pool{"S": {Name: "S", Guards: true}},
+	})
+	ctx, stop := context.WithCancel(s.t.Context())
+	e := &entry{l, client, stop, make(chan struct{})}
+	s.entries = append(s.entries, e)
+	go func() {
+		defer close(e.done)
+		_ = l.Run(ctx) // It ends with ctx.
+	}()
+	return e
+}
+
+func members(items []sched.Item) ([]sched.Member, map[string]error) {
+	var out []sched.Member
+	for _, i := range items {
+		out = append(out, sched.Member{
+			Worker: sched.WorkerName(strings.TrimPrefix(i.Key, membersPrefix)), Service: "S",
+			Addr: netip.MustParseAddrPort("127.0.0.1:1"), Born: 1,
+			Capacity: sched.Resources{CPU: 32000, Memory: 64 << 30},
+		})
+	}
+	return out, nil
+}
+
+// stopAll ends the entries.
+func (s *site) stopAll() {
+	for _, e := range s.entries {
+		e.stop()
+		<-e.done
+	}
+}
+
+// submit stores a job of two steps.
+func (s *site) submit(id sched.JobID) {
+	w := &sched.Workflow{ID: id, Queue: "Q", Steps: []sched.StepSpec{
+		{Count: 2, Resources: sched.Resources{CPU: 1000}}, {Count: 1, Resources: sched.Resources{CPU: 1000}, After: []int{0}},
+	}}
+	s.store.Put(layout.JobKey(id), layout.Encode(layout.Job{Workflow: w, Accepted: time.Now().UnixMilli()}))
+}
+
+// leading returns the entries that lead.
+func (s *site) leading() []*entry {
+	var out []*entry
+	for _, e := range s.entries {
+		if _, _, leads := e.State("none"); leads {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// state returns the state of a job as the leader shows it.
+func (s *site) state(id sched.JobID) sched.JobState {
+	for _, e := range s.leading() {
+		if state, known, _ := e.State(id); known {
+			return state
+		}
+	}
+	return sched.JobQueued
+}
+
+// requireDone asserts that a job is completed within a time, each task having
+// started once.
+func (s *site) requireDone(id sched.JobID, within time.Duration) {
+	s.t.Helper()
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if s.state(id) == sched.JobCompleted {
+			for t, n := range s.workers.starts {
+				require.Equal(s.t, 1, n, "starts of %v", t)
+			}
+			return
+		}
+	}
+	s.t.Fatalf("job %s is %s after %s", id, s.state(id), within)
+}
+
+// Guards against two leaders in calm, and against a job that is not run.
+func TestOneLeads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 3, time.Second)
+		defer s.stopAll()
+		time.Sleep(time.Second)
+		require.Len(t, s.leading(), 1)
+		s.submit("1")
+		s.requireDone("1", 5*time.Second)
+	})
+}
+
+// Guards against work that stops with the leader's process, or that is started
+// again although it runs on.
+func TestLeaderDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 3, 6*time.Second)
+		defer s.stopAll()
+		time.Sleep(time.Second)
+		s.submit("1")
+		time.Sleep(time.Second)
+		s.leading()[0].stop()
+		time.Sleep(2500 * time.Millisecond)
+		require.Len(t, s.leading(), 1)
+		s.requireDone("1", 20*time.Second)
+	})
+}
+
+// Guards against a leader that goes on beside its successor after its key was
+// taken away without any call showing it.
+func TestKeyIsTakenAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 3, time.Second)
+		defer s.stopAll()
+		time.Sleep(time.Second)
+		before := s.leading()[0].Current().Term
+		s.store.Remove(layout.LeaderKey)
+		time.Sleep(3 * time.Second)
+		require.Len(t, s.leading(), 1)
+		require.Greater(t, s.leading()[0].Current().Term, before)
+		s.submit("1")
+		s.requireDone("1", 5*time.Second)
+	})
+}
+
+// Guards against work that stops while the store is away, and against a change
+// of leader that nothing calls for.
+func TestStoreIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 3, 8*time.Second)
+		defer s.stopAll()
+		time.Sleep(time.Second)
+		s.submit("1")
+		time.Sleep(time.Second)
+		s.store.SetDown(true)
+		time.Sleep(6 * time.Second)
+		require.Len(t, s.leading(), 1, "the leader goes on by its workers' answers")
+		s.store.SetDown(false)
+		s.requireDone("1", 30*time.Second)
+	})
+}
+
+// Guards against a leader that the store refuses and that nobody replaces.
+func TestLeaderIsCutOffFromTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 3, time.Second)
+		defer s.stopAll()
+		time.Sleep(time.Second)
+		old := s.leading()[0]
+		old.client.Cut(true)
+		time.Sleep(4 * time.Second)
+		require.Len(t, s.leading(), 1)
+		require.NotSame(t, old, s.leading()[0])
+		s.submit("1")
+		s.requireDone("1", 5*time.Second)
+	})
+}
+
+// Guards against a planned stop that leaves the deployment without a leader.
+func TestResign(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 2, time.Second)
+		defer s.stopAll()
+		time.Sleep(time.Second)
+		old := s.leading()[0]
+		old.Resign(t.Context())
+		time.Sleep(300 * time.Millisecond)
+		require.Len(t, s.leading(), 1)
+		require.NotSame(t, old, s.leading()[0])
+	})
+}
+
+// Guards against a campaign whose answer is lost, and that is won or lost all
+// the same.
+func TestCampaignAnswerIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		store.LoseNext(1)
+		s := &site{t: t, store: store, workers: newWorkers(time.Second)}
+		s.store.Put(membersPrefix+"w1", nil)
+		s.join("a")
+		defer s.stopAll()
+		time.Sleep(time.Second)
+		require.Len(t, s.leading(), 1)
+	})
+}
+
+// Guards against calls without a pause after the store dropped its history.
+func TestHistoryIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 3, time.Second)
+		defer s.stopAll()
+		time.Sleep(time.Second)
+		s.store.Compact()
+		before := s.store.Calls()
+		time.Sleep(10 * time.Second)
+		perSecond := (s.store.Calls() - before) / 10
+		require.Less(t, perSecond, 15)
+		s.submit("1")
+		s.requireDone("1", 5*time.Second)
+	})
+}
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -167,14 +167,19 @@
 // renew renews the lease. If it has ended, the leader's key is written anew:
 // as long as nobody has begun a newer term, this one goes on.
 func (t *term) renew() {
-	t.leaseMu.Lock()
-	defer t.leaseMu.Unlock()
-	err := t.l.store.Keep(t.ctx, t.lease)
+	var lease sched.LeaseID
+	select {
+	case lease = <-t.lease:
+	case <-t.ctx.Done():
+		return
+	}
+	defer func() { t.lease <- lease }()
+	err := t.l.store.Keep(t.ctx, lease)
 	if !errors.Is(err, sched.ErrNoLease) {
 		return // The next renewal follows soon; the term rests on other proofs.
 	}
 	t.l.log.Warn("leader's lease has ended", "term", t.number)
-	lease, _, err := t.l.store.Grant(t.ctx, t.l.ttl)
+	next, _, err := t.l.store.Grant(t.ctx, t.l.ttl)
 	if err != nil {
 		t.l.log.Warn("lease not granted", "term", t.number, "error", err)
 		return
@@ -182,14 +187,14 @@
 	me := layout.Leader{Name: t.l.Name, Addr: t.l.Addr, Term: t.number}
 	_, err = t.l.store.Commit(t.ctx, sched.Txn{
 		Conditions: []sched.Condition{{Key: layout.LeaderKey}, {Key: layout.TermKey, Version: t.version}},
-		Writes:     []sched.Write{{Key: layout.LeaderKey, Value: layout.Encode(me), Lease: lease}},
+		Writes:     []sched.Write{{Key: layout.LeaderKey, Value: layout.Encode(me), Lease: next}},
 	})
 	if conflict := (*sched.ConflictError)(nil); errors.As(err, &conflict) && conflict.Version(layout.TermKey) != t.version {
 		t.end("a newer term exists in the store")
 		return
 	}
 	t.l.log.Info("leader's key written again", "term", t.number, "error", err)
-	t.lease = lease
+	lease = next
 }
 
 // prove reads the term.
@@ -223,9 +228,11 @@
 		pause(ctx, 20*time.Millisecond)
 	}
 	t.end("planned stop")
-	t.leaseMu.Lock()
-	defer t.leaseMu.Unlock()
-	if err := t.l.store.Revoke(ctx, t.lease); err != nil {
-		t.l.log.Warn("leader's lease not ended", "term", t.number, "error", err)
+	select {
+	case lease := <-t.lease:
+		if err := t.l.store.Revoke(ctx, lease); err != nil {
+			t.l.log.Warn("leader's lease not ended", "term", t.number, "error", err)
+		}
+	case <-ctx.Done():
 	}
 }
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -19,8 +19,9 @@
 	version sched.Version
 	started time.Time
 
-	leaseMu sync.Mutex
-	lease   sched.LeaseID
+	// lease is passed on through a channel of one place: whoever holds it may
+	// call the store with it.
+	lease chan sched.LeaseID
 
 	// slots bounds the orders in progress, holds aside.
 	slots chan struct{}
@@ -44,10 +45,11 @@
 	ctx context.Context, l *Leader, t layout.Term, version sched.Version, lease sched.LeaseID,
 ) *term {
 	x := &term{
-		l: l, number: t.Number, version: version, lease: lease, started: time.Now(),
+		l: l, number: t.Number, version: version, lease: make(chan sched.LeaseID, 1), started: time.Now(),
 		asked: time.Now(), broken: map[string]bool{},
 		slots: make(chan struct{}, ordersAtOnce),
 	}
+	x.lease <- lease
 	x.ctx, x.cancel = context.WithCancelCause(ctx)
 	x.machine = flow.New(t.Number, l.Machine...)
 	return x
