--- a/internal/emul/emul.go
+++ b/internal/emul/emul.go
@@ -35,13 +35,14 @@
 	events eventHeap
 	seq    uint64
 
-	Workers []*Worker
-	byName  map[sched.WorkerName]*Worker
-	Fleet   *sched.Fleet
-	jobs    map[sched.JobID]*Job
-	order   []*Job
-	leaders []*Leader
-	store   store
+	Workers     []*Worker
+	byName      map[sched.WorkerName]*Worker
+	Fleet       *sched.Fleet
+	jobs        map[sched.JobID]*Job
+	order       []*Job
+	leaders     []*Leader
+	store       store
+	longestMiss time.Duration
 	// cutUntil is when a cut from the store last ended.
 	cutUntil time.Time
 
--- a/internal/emul/oracle.go
+++ b/internal/emul/oracle.go
@@ -176,9 +176,20 @@
 			tail += target * 8 * o.pace * float64(o.spec.Resources.CPU) / float64(w.Member.Capacity.CPU)
 		}
 	}
+	switch {
+	case tail <= target:
+		r.missedSince = time.Time{}
+	case r.missedSince.IsZero():
+		r.missedSince = e.now
+	default:
+		e.longestMiss = max(e.longestMiss, e.now.Sub(r.missedSince))
+	}
 	return tail
 }
 
+// LongestMiss returns how long a task that serves missed its target on end.
+func (e *Emulator) LongestMiss() time.Duration { return e.longestMiss }
+
 func disturbs(fills, serves string) bool {
 	if fills == "" || serves == "" {
 		return false
--- a/internal/emul/worker.go
+++ b/internal/emul/worker.go
@@ -38,17 +38,18 @@
 
 // Run is a run on an emulated worker.
 type Run struct {
-	ID      sched.Run
-	spec    *sched.StepSpec
-	job     *Job
-	left    time.Duration
-	total   time.Duration
-	since   time.Time
-	pace    float64
-	stopAt  time.Time
-	ending  uint64
-	leader  uint64
-	percent int
+	ID     sched.Run
+	spec   *sched.StepSpec
+	job    *Job
+	left   time.Duration
+	total  time.Duration
+	since  time.Time
+	pace   float64
+	stopAt time.Time
+	ending uint64
+	leader uint64
+	// missedSince is when the run last began to miss its target.
+	missedSince time.Time
 }
 
 // waiter is a hold that waits for an end.
@@ -111,6 +112,9 @@
 	w.e.After(after, w.Remove)
 }
 
+// Running returns the number of runs on the worker.
+func (w *Worker) Running() int { return len(w.runs) }
+
 // SetSlow changes the factor by which work takes longer.
 func (w *Worker) SetSlow(factor float64) {
 	w.settle()
--- /dev/null
+++ b/pkg/sched/flow/place_test.go
@@ -0,0 +1,148 @@
+package flow_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mangoslip/mangoslip/internal/emul"
+	"github.com/mangoslip/mangoslip/pkg/sched"
+)
+
+// placed runs one job on 24 workers of 32 cores in racks of 8, and returns the
+// workers on which its runs are after a time.
+func placed(t *testing.T, step sched.StepSpec, before func(e *emul.Emulator)) (*emul.Emulator, []*emul.Worker) {
+	t.Helper()
+	e := emul.New(7)
+	e.AddWorkers(24, sched.Resources{CPU: 32000, Memory: 125 * gib})
+	e.AddQueue(sched.Queue{Name: "Q", MaxAttempts: 3, Stretch: 2, Target: time.Second})
+	if before != nil {
+		before(e)
+	}
+	e.Lead()
+	e.Submit(&sched.Workflow{ID: "job", Queue: "Q", Steps: []sched.StepSpec{step}}, emul.Work{Took: 10 * time.Second})
+	e.RunFor(2 * time.Second)
+	requireSound(t, e)
+	var out []*emul.Worker
+	for _, w := range e.Workers {
+		for range w.Running() {
+			out = append(out, w)
+		}
+	}
+	return e, out
+}
+
+// Guards against tasks on workers that their job does not permit, or far from
+// their data while there is room near it.
+func TestPlacement(t *testing.T) {
+	step := sched.StepSpec{Count: 4, Resources: sched.Resources{CPU: 2000, Memory: gib}, Estimate: 10 * time.Second}
+	t.Run("Label", func(t *testing.T) {
+		s := step
+		s.Requires = "special"
+		_, on := placed(t, s, func(e *emul.Emulator) {
+			for _, w := range e.Workers[3:5] {
+				w.Member.Labels = []string{"special", "r0"}
+			}
+		})
+		require.Len(t, on, 4)
+		for _, w := range on {
+			require.Equal(t, "special", w.Member.Labels[0])
+		}
+	})
+	t.Run("Affinity", func(t *testing.T) {
+		s := step
+		s.Affinity = "r1"
+		_, on := placed(t, s, nil)
+		require.Len(t, on, 4)
+		for _, w := range on {
+			require.Equal(t, "r1", w.Member.Rack())
+		}
+	})
+	t.Run("AntiAffinity", func(t *testing.T) {
+		s := step
+		s.Count, s.AntiAffinity = 30, 1
+		_, on := placed(t, s, nil)
+		require.Len(t, on, 24, "one on each worker, the others wait")
+	})
+	t.Run("Memory", func(t *testing.T) {
+		s := step
+		s.Count, s.Fills, s.Resources.Memory = 60, true, 60*gib
+		_, on := placed(t, s, nil)
+		require.Len(t, on, 48, "tasks that fill take memory")
+	})
+}
+
+// Guards against a gang of which only some members run, and against one that is
+// spread over racks although a rack has room.
+func TestGangStartsTogether(t *testing.T) {
+	step := sched.StepSpec{Count: 8, Resources: sched.Resources{CPU: 20000, Memory: gib}, Gang: true, SameRack: true}
+	t.Run("Fits", func(t *testing.T) {
+		_, on := placed(t, step, nil)
+		require.Len(t, on, 8)
+		for _, w := range on {
+			require.Equal(t, on[0].Member.Rack(), w.Member.Rack())
+		}
+	})
+	t.Run("DoesNotFit", func(t *testing.T) {
+		s := step
+		s.Count, s.SameRack = 30, false
+		_, on := placed(t, s, nil)
+		require.Empty(t, on)
+	})
+}
+
+// Guards against occurrences of a repeated job that start before their time, or
+// do not start.
+func TestRepeatedJob(t *testing.T) {
+	e := emul.New(8)
+	e.AddWorkers(4, sched.Resources{CPU: 32000, Memory: 125 * gib})
+	e.AddQueue(sched.Queue{Name: "Q", MaxAttempts: 3, Stretch: 2, Target: time.Second})
+	e.Lead()
+	e.Submit(&sched.Workflow{
+		ID: "job", Queue: "Q", Repeat: 3, First: e.Now().Add(2 * time.Second).UnixMilli(), Interval: 3 * time.Second,
+		Steps: []sched.StepSpec{{Count: 2, Resources: sched.Resources{CPU: 1000}}},
+	}, emul.Work{Took: time.Second})
+	e.RunFor(1900 * time.Millisecond)
+	require.Zero(t, e.Counts["Runs"])
+	e.RunFor(300 * time.Millisecond)
+	require.Equal(t, 2, e.Counts["Runs"])
+	e.RunFor(2500 * time.Millisecond)
+	require.Equal(t, 2, e.Counts["Runs"])
+	requireSettled(t, e, 20*time.Second)
+	require.Equal(t, 6, e.Counts["Runs"])
+	requireSound(t, e)
+}
+
+// Guards against short work that waits behind long work of a lower priority:
+// room that it needs is taken from there.
+func TestPriorityTakesRoom(t *testing.T) {
+	e := emul.New(9)
+	e.AddWorkers(4, sched.Resources{CPU: 32000, Memory: 125 * gib})
+	e.AddQueue(sched.Queue{Name: "Low", Priority: 2, MaxAttempts: 3})
+	e.AddQueue(sched.Queue{Name: "High", Priority: 0, MaxAttempts: 3})
+	e.Lead()
+	task := sched.Resources{CPU: 8000, Memory: gib}
+	e.Submit(&sched.Workflow{ID: "low", Queue: "Low", Steps: []sched.StepSpec{{Count: 16, Resources: task, Checkpoint: true}}},
+		emul.Work{Took: 30 * time.Second})
+	e.RunFor(2 * time.Second)
+	j := e.Submit(&sched.Workflow{ID: "high", Queue: "High", Steps: []sched.StepSpec{{Count: 2, Resources: task}}},
+		emul.Work{Took: time.Second})
+	require.True(t, e.RunUntil(3*time.Second, func() bool { return j.State.Final() }), "done in %s", e.Now().Sub(j.Submitted))
+	requireSettled(t, e, settle)
+	requireSound(t, e)
+}
+
+// Guards against tasks that serve and miss their target because of tasks that
+// fill beside them, for longer than permitted, and against the opposite: fills
+// that are never done.
+func TestHarmfulFillIsSlowed(t *testing.T) {
+	for seed := range uint64(6) {
+		e := newDay(seed+50, 24, 15*time.Second)
+		e.Lead()
+		e.RunFor(40 * time.Second)
+		require.Less(t, e.LongestMiss(), 4*time.Second, "seed %d", seed)
+		requireSettled(t, e, settle)
+		requireSound(t, e)
+	}
+}
