Let other entries carry the leader's orders

Weighed: owners of racks (steps, gangs and bounds would span owners) and a leaner HTTP client (at most half of the cost). Change: from 100 workers on, a pool on the leader gathers orders for the four entries with the most processor time; these send them and gather the answers.

--- a/cmd/mangoslip/serve.go
+++ b/cmd/mangoslip/serve.go
@@ -36,6 +36,7 @@
 	settingsFile string
 	metricsPort  uint
 	lease        time.Duration
+	carryFrom    int
 	logLevel     string
 	level        slog.LevelVar
 	setup        setup.Settings
@@ -55,6 +56,7 @@
 	f.StringVar(&c.settingsFile, "settings", os.Getenv(setup.Variable), "`file` with the platform's settings")
 	f.UintVar(&c.metricsPort, "metrics-port", 9600, "`port` for metrics")
 	f.DurationVar(&c.lease, "task-lease", 4*time.Second, "how far ahead the leases of runs are set")
+	f.IntVar(&c.carryFrom, "carry-from", 100, "number of workers from which other entries carry the leader's orders")
 	f.StringVar(&c.logLevel, "log-level", "info", "debug, info, warn or error")
 }
 
@@ -110,7 +112,7 @@
 		Name: s.Name, Front: s.Front, Ready: s.Ready,
 		Peer:    netip.AddrPortFrom(s.Address, s.PortLow),
 		Metrics: netip.AddrPortFrom(s.Address, uint16(c.metricsPort)),
-		Grace:   s.Grace, ReadyPath: front.ReadyPath,
+		Grace:   s.Grace, ReadyPath: front.ReadyPath, CarryFrom: c.carryFrom,
 	}, daemon.Platform{
 		Store: store, Orders: orders, ConfigKey: fleet.ConfigKey,
 		Apply: func(value []byte) (*sched.Fleet, error) {
--- /dev/null
+++ b/internal/carry/carry.go
@@ -0,0 +1,230 @@
+// Package carry lets entries carry the orders of the leader to the workers.
+//
+// The leader decides; exchanging a message with each worker costs it far more
+// than deciding. A [Pool] on the leader gathers orders for each of a few other
+// entries and hands them over in batches; a [Carrier] there sends them and
+// gathers the answers, which the next batch brings back. A worker's orders go
+// through one entry as long as that one answers.
+//
+// Nothing rests on a carrier: orders carry the leader's fence and a deadline on
+// the worker's clock, and an order whose answer does not come back in time
+// counts as lost, which may mean that it was carried out.
+//
+// # Usage
+//
+//	mux.Handle(carry.Handler(carry.NewCarrier(orders)))
+//	pool := carry.NewPool(term, orders, client, peers)
+//	reply, err := pool.Start(ctx, member, order)
+package carry
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/mangoslip/mangoslip/internal/wire"
+	"github.com/mangoslip/mangoslip/pkg/sched"
+)
+
+const procedure = "/mangoslip.Relay/Carry"
+
+// Order is an order on its way. Exactly one of the pointers is set.
+type Order struct {
+	ID      uint64            `cbor:"1,keyasint"`
+	Worker  sched.WorkerName  `cbor:"2,keyasint"`
+	Addr    netip.AddrPort    `cbor:"3,keyasint"`
+	Timeout time.Duration     `cbor:"4,keyasint"`
+	Start   *sched.StartOrder `cbor:"5,keyasint,omitempty"`
+	Stop    *sched.StopOrder  `cbor:"6,keyasint,omitempty"`
+	Pace    *sched.PaceOrder  `cbor:"7,keyasint,omitempty"`
+	Hold    *sched.HoldOrder  `cbor:"8,keyasint,omitempty"`
+}
+
+// Result is what became of an order.
+type Result struct {
+	ID     uint64            `cbor:"1,keyasint"`
+	Reply  sched.OrderReply  `cbor:"2,keyasint"`
+	Report *sched.HoldReport `cbor:"3,keyasint,omitempty"`
+	// Failed says why there is no answer; NotSent means that the order was
+	// certainly not carried out.
+	Failed  string `cbor:"4,keyasint,omitempty"`
+	NotSent bool   `cbor:"5,keyasint,omitempty"`
+}
+
+// Batch hands orders over and asks for results. The answer waits for a result
+// for at most Wait.
+type Batch struct {
+	Term   uint64        `cbor:"1,keyasint"`
+	Orders []Order       `cbor:"2,keyasint,omitempty"`
+	Wait   time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
+// Results answers a batch. Refused means that the carrier knows a newer term.
+type Results struct {
+	Results []Result `cbor:"1,keyasint,omitempty"`
+	Refused bool     `cbor:"2,keyasint,omitempty"`
+}
+
+// codec encodes messages with CBOR.
+type codec struct{}
+
+func (codec) Name() string                       { return "cbor" }
+func (codec) Marshal(v any) ([]byte, error)      { return cbor.Marshal(v) }
+func (codec) Unmarshal(data []byte, v any) error { return cbor.Unmarshal(data, v) }
+
+// Carrier sends the orders of a leader that runs on another entry. It is safe
+// for concurrent use.
+type Carrier struct {
+	orders sched.Orders
+
+	mu    sync.Mutex
+	term  uint64
+	ready []Result
+	wake  chan struct{}
+}
+
+// NewCarrier returns a carrier that sends through orders.
+func NewCarrier(orders sched.Orders) *Carrier {
+	return &Carrier{orders: orders, wake: make(chan struct{}, 1)}
+}
+
+// Handler returns the path and the handler of the service.
+func Handler(c *Carrier) (string, http.Handler) {
+	do := func(ctx context.Context, req *connect.Request[Batch]) (*connect.Response[Results], error) {
+		out := c.Carry(ctx, *req.Msg)
+		return connect.NewResponse(&out), nil
+	}
+	return procedure, connect.NewUnaryHandler(procedure, do, connect.WithCodec(codec{}))
+}
+
+// Carry takes orders over and returns the results that are ready.
+func (c *Carrier) Carry(ctx context.Context, b Batch) Results {
+	c.mu.Lock()
+	if b.Term < c.term {
+		c.mu.Unlock()
+		return Results{Refused: true}
+	}
+	if b.Term > c.term {
+		c.term, c.ready = b.Term, nil
+	}
+	c.mu.Unlock()
+	for i := range b.Orders {
+		go c.send(b.Term, &b.Orders[i])
+	}
+	c.await(ctx, b.Wait)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if b.Term != c.term {
+		return Results{Refused: true}
+	}
+	out := Results{Results: c.ready}
+	c.ready = nil
+	return out
+}
+
+// await waits until a result is ready.
+func (c *Carrier) await(ctx context.Context, wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	for {
+		c.mu.Lock()
+		n := len(c.ready)
+		c.mu.Unlock()
+		if n > 0 {
+			return
+		}
+		select {
+		case <-c.wake:
+		case <-t.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// send sends an order to its worker.
+func (c *Carrier) send(term uint64, o *Order) {
+	ctx, cancel := context.WithTimeout(context.Background(), o.Timeout)
+	defer cancel()
+	m := sched.Member{Worker: o.Worker, Addr: o.Addr}
+	r := Result{ID: o.ID}
+	var err error
+	switch {
+	case o.Start != nil:
+		r.Reply, err = c.orders.Start(ctx, m, *o.Start)
+	case o.Stop != nil:
+		r.Reply, err = c.orders.Stop(ctx, m, *o.Stop)
+	case o.Pace != nil:
+		r.Reply, err = c.orders.Pace(ctx, m, *o.Pace)
+	case o.Hold != nil:
+		var rep sched.HoldReport
+		rep, err = c.orders.Hold(ctx, m, *o.Hold)
+		r.Report = &rep
+	}
+	if err != nil {
+		r.Failed, r.NotSent, r.Report = err.Error(), notSent(err), nil
+	}
+	c.mu.Lock()
+	if term == c.term {
+		c.ready = append(c.ready, r)
+	}
+	c.mu.Unlock()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Client hands batches to carriers. It is safe for concurrent use.
+type Client struct {
+	wire *wire.Transport
+
+	mu      sync.Mutex
+	clients map[netip.AddrPort]*connect.Client[Batch, Results]
+}
+
+const (
+	dialTimeout = 300 * time.Millisecond
+	maxConns    = 4
+)
+
+// NewClient returns a client.
+func NewClient() *Client {
+	return &Client{
+		wire:    wire.New(wire.WithMaxConns(maxConns), wire.WithDialTimeout(dialTimeout)),
+		clients: map[netip.AddrPort]*connect.Client[Batch, Results]{},
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.wire.Close() }
+
+// Carry hands a batch to the carrier at addr.
+func (c *Client) Carry(ctx context.Context, addr netip.AddrPort, b Batch) (Results, error) {
+	c.mu.Lock()
+	cl := c.clients[addr]
+	if cl == nil {
+		cl = connect.NewClient[Batch, Results](doer{c.wire}, "http://"+addr.String()+procedure, connect.WithCodec(codec{}))
+		c.clients[addr] = cl
+	}
+	c.mu.Unlock()
+	resp, err := cl.CallUnary(ctx, connect.NewRequest(&b))
+	if err != nil {
+		return Results{}, sched.Wrap(err, "carry", addr.String())
+	}
+	return *resp.Msg, nil
+}
+
+// doer adapts the transport to the interface of connect.
+type doer struct{ t *wire.Transport }
+
+func (d doer) Do(req *http.Request) (*http.Response, error) { return d.t.Do(req) }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"goji.io/pat"
 	"gopkg.in/tomb.v2"
 
+	"github.com/mangoslip/mangoslip/internal/carry"
 	"github.com/mangoslip/mangoslip/internal/jobs"
 	"github.com/mangoslip/mangoslip/internal/layout"
 	"github.com/mangoslip/mangoslip/internal/leader"
@@ -38,6 +39,9 @@
 	Front, Ready, Peer, Metrics netip.AddrPort
 	// Grace is the time that a planned stop may take.
 	Grace time.Duration
+	// CarryFrom is the number of workers from which other entries carry the
+	// orders of a leader.
+	CarryFrom int
 	// ReadyPath is the path of the balancer's check.
 	ReadyPath string
 }
@@ -65,7 +69,9 @@
 	leader *leader.Leader
 	jobs   *jobs.Service
 	client *relay.Client
-	peers  peers
+	// carrier hands orders to other entries.
+	carrier *carry.Client
+	peers   peers
 
 	t         tomb.Tomb
 	servers   []*http.Server
@@ -90,14 +96,14 @@
 func New(s Settings, p Platform, opts ...Option) *Entry {
 	e := &Entry{
 		Settings: s, Platform: p, log: slog.New(slog.DiscardHandler), stats: stats.New(),
-		client: relay.NewClient(), started: time.Now(),
+		client: relay.NewClient(), carrier: carry.NewClient(), started: time.Now(),
 	}
 	for _, o := range opts {
 		o(e)
 	}
 	p.Leader.Name, p.Leader.Addr = s.Name, s.Peer
 	e.leader = leader.New(p.Leader, p.Store, p.Orders, leader.WithLogger(e.log), leader.WithStats(e.stats),
-		leader.WithAnnouncer(e.announce))
+		leader.WithAnnouncer(e.announce), leader.WithCarriers(e.carry))
 	e.jobs = jobs.New(p.Store, e.leader, (*asker)(e), jobs.WithLogger(e.log))
 	return e
 }
@@ -130,6 +136,7 @@
 func (e *Entry) listen() error {
 	mux := http.NewServeMux()
 	mux.Handle(relay.Handler(e.jobs))
+	mux.Handle(carry.Handler(carry.NewCarrier(e.Orders)))
 	ready := goji.NewMux()
 	ready.HandleFunc(pat.Get(e.ReadyPath), e.serveReady)
 	metrics := goji.NewMux()
@@ -222,6 +229,22 @@
 	}
 }
 
+// carriersMost is how many entries carry the orders of a leader.
+const carriersMost = 4
+
+// carry returns what sends the orders of a term.
+func (e *Entry) carry(ctx context.Context, term uint64) sched.Orders {
+	list := func() []netip.AddrPort {
+		if t, leads := e.leader.Totals(); leads && t.Workers < e.CarryFrom {
+			return nil
+		}
+		return e.peers.carriers(e.Name, carriersMost, time.Now())
+	}
+	return carry.NewPool(ctx, term, e.Orders, e.carrier.Carry, list, func(event string, attrs ...any) {
+		e.log.Info(event, attrs...)
+	})
+}
+
 // announce tells the other entries that this one leads.
 func (e *Entry) announce(l layout.Leader) {
 	for _, p := range e.peers.list("") {
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -1,8 +1,10 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -21,6 +23,10 @@
 	gaugeEvery   = time.Second
 	forgetAfter  = 30 * time.Second
 	registerWait = 700 * time.Millisecond
+	// carrierSeen is how lately an entry must have been listed to carry orders,
+	// and carrierRest how long one that failed does not.
+	carrierSeen = 8 * time.Second
+	carrierRest = 3 * time.Second
 )
 
 // peers is what an entry knows of the others.
@@ -78,6 +84,27 @@
 	return out
 }
 
+// carriers returns the addresses of the entries that may carry orders: those
+// with the most processor time among the ones that answer.
+func (p *peers) carriers(but sched.EntryName, most int, now time.Time) []netip.AddrPort {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []known
+	for _, k := range p.entries {
+		if k.Name != but && now.Sub(k.seen) < carrierSeen && now.Sub(k.failed) > carrierRest {
+			all = append(all, k)
+		}
+	}
+	slices.SortFunc(all, func(a, b known) int {
+		return cmp.Or(cmp.Compare(b.Processors, a.Processors), cmp.Compare(a.Name, b.Name))
+	})
+	out := make([]netip.AddrPort, 0, most)
+	for _, k := range all[:min(most, len(all))] {
+		out = append(out, k.Addr)
+	}
+	return out
+}
+
 // note takes in the result of a call.
 func (p *peers) note(name sched.EntryName, err error, now time.Time) {
 	p.mu.Lock()
@@ -156,7 +183,7 @@
 		return 0
 	}
 	key := layout.EntryPrefix + string(e.Name)
-	value := layout.Encode(layout.Entry{Name: e.Name, Addr: e.Peer})
+	value := layout.Encode(layout.Entry{Name: e.Name, Addr: e.Peer, Processors: e.Platform.Leader.Processors})
 	if _, err = e.Store.Commit(ctx, sched.Txn{Writes: []sched.Write{{Key: key, Value: value, Lease: lease}}}); err != nil {
 		e.log.Info("entry not registered", "error", err)
 		return 0
--- a/internal/layout/layout.go
+++ b/internal/layout/layout.go
@@ -67,6 +67,8 @@
 type Entry struct {
 	Name sched.EntryName `cbor:"1,keyasint"`
 	Addr netip.AddrPort  `cbor:"2,keyasint"`
+	// Processors is the share of a core that the entry may use.
+	Processors float64 `cbor:"3,keyasint"`
 }
 
 // JobKey returns the key of a job.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -63,7 +63,10 @@
 	// orderTimeout bounds an order; a hold takes its wait in addition.
 	orderTimeout = 300 * time.Millisecond
 	holdTimeout  = 400 * time.Millisecond
-	ordersAtOnce = 12
+	// ordersAtOnce bounds the orders in progress that are sent directly, and
+	// carriedAtOnce those that other entries carry.
+	ordersAtOnce  = 12
+	carriedAtOnce = 512
 )
 
 // Settings is what a leader needs to know.
@@ -91,6 +94,7 @@
 	stats    *stats.Stats
 	ttl      time.Duration
 	announce func(layout.Leader)
+	carriers func(ctx context.Context, term uint64) sched.Orders
 
 	mu       sync.Mutex
 	view     layout.Leader
@@ -111,6 +115,12 @@
 // WithTTL sets the time to live of the leader's key (1.5 s).
 func WithTTL(d time.Duration) Option { return func(x *Leader) { x.ttl = d } }
 
+// WithCarriers has f called for each term: what it returns sends the orders of
+// that term to the workers until ctx ends. Without it they are sent directly.
+func WithCarriers(f func(ctx context.Context, term uint64) sched.Orders) Option {
+	return func(x *Leader) { x.carriers = f }
+}
+
 // WithAnnouncer has f called when this entry begins to lead.
 func WithAnnouncer(f func(layout.Leader)) Option { return func(x *Leader) { x.announce = f } }
 
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -23,6 +23,7 @@
 	// call the store with it.
 	lease chan sched.LeaseID
 
+	orders sched.Orders
 	// slots bounds the orders in progress, holds aside.
 	slots chan struct{}
 
@@ -51,6 +52,11 @@
 	}
 	x.lease <- lease
 	x.ctx, x.cancel = context.WithCancelCause(ctx)
+	x.orders = l.orders
+	if l.carriers != nil {
+		x.orders = l.carriers(x.ctx, t.Number)
+		x.slots = make(chan struct{}, carriedAtOnce)
+	}
 	x.machine = flow.New(t.Number, l.Machine...)
 	return x
 }
@@ -205,7 +211,7 @@
 	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
 	defer cancel()
 	sent := time.Now()
-	reply, err := t.l.orders.Start(ctx, cmd.Member, cmd.Order)
+	reply, err := t.orders.Start(ctx, cmd.Member, cmd.Order)
 	t.l.stats.Observe("StartSeconds", time.Since(sent))
 	t.post(flow.StartResultMsg{
 		Result: flow.Result{Worker: cmd.Member.Worker, Sent: sent, Err: err}, Run: cmd.Order.Run, Reply: reply,
@@ -216,7 +222,7 @@
 	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
 	defer cancel()
 	sent := time.Now()
-	reply, err := t.l.orders.Stop(ctx, cmd.Member, cmd.Order)
+	reply, err := t.orders.Stop(ctx, cmd.Member, cmd.Order)
 	t.post(flow.StopResultMsg{
 		Result: flow.Result{Worker: cmd.Member.Worker, Sent: sent, Err: err}, Run: cmd.Order.Run, Reply: reply,
 	})
@@ -226,7 +232,7 @@
 	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
 	defer cancel()
 	sent := time.Now()
-	reply, err := t.l.orders.Pace(ctx, cmd.Member, cmd.Order)
+	reply, err := t.orders.Pace(ctx, cmd.Member, cmd.Order)
 	t.post(flow.PaceResultMsg{
 		Result: flow.Result{Worker: cmd.Member.Worker, Sent: sent, Err: err}, Run: cmd.Order.Run,
 		Percent: cmd.Order.Percent, Reply: reply,
@@ -237,7 +243,7 @@
 	ctx, cancel := context.WithTimeout(t.ctx, holdTimeout+cmd.Order.Wait)
 	defer cancel()
 	sent := time.Now()
-	report, err := t.l.orders.Hold(ctx, cmd.Member, cmd.Order)
+	report, err := t.orders.Hold(ctx, cmd.Member, cmd.Order)
 	t.post(flow.HoldResultMsg{
 		Result: flow.Result{Worker: cmd.Member.Worker, Sent: sent, Err: err}, Seq: cmd.Seq, Report: report,
 	})
