--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -116,7 +117,7 @@
 	if err := e.listen(); err != nil {
 		return err
 	}
-	run := e.t.Context(context.Background()) //nolint:staticcheck // tomb offers no other way.
+	run := e.t.Context(context.Background())
 	e.t.Go(func() error { e.followConfig(run); return nil })
 	e.t.Go(func() error { e.register(run); return nil })
 	e.t.Go(func() error { return e.leader.Run(run) })
@@ -146,7 +147,7 @@
 		addr   netip.AddrPort
 		server *http.Server
 	}{
-		{e.Settings.Front, e.front},
+		{e.Front, e.front},
 		{e.Ready, &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}},
 		{e.Peer, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}},
 		{e.Metrics, &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout}},
@@ -165,7 +166,7 @@
 	}
 	e.servers = append(e.servers, s)
 	e.t.Go(func() error {
-		if err := s.Serve(l); err != http.ErrServerClosed && !e.stopping.Load() { //nolint:errorlint // Serve returns it bare.
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !e.stopping.Load() {
 			return sched.Wrap(err, "serve", addr.String())
 		}
 		return nil
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -183,7 +183,7 @@
 		return 0
 	}
 	key := layout.EntryPrefix + string(e.Name)
-	value := layout.Encode(layout.Entry{Name: e.Name, Addr: e.Peer, Processors: e.Platform.Leader.Processors})
+	value := layout.Encode(layout.Entry{Name: e.Name, Addr: e.Peer, Processors: e.Leader.Processors})
 	if _, err = e.Store.Commit(ctx, sched.Txn{Writes: []sched.Write{{Key: key, Value: value, Lease: lease}}}); err != nil {
 		e.log.Info("entry not registered", "error", err)
 		return 0
--- a/internal/emul/worker.go
+++ b/internal/emul/worker.go
@@ -348,7 +348,7 @@
 func (w *Worker) report() sched.HoldReport {
 	rep := sched.HoldReport{Clock: w.clock(), Born: w.Member.Born, Ended: append([]sched.RunEnd(nil), w.ends...)}
 	for _, r := range w.sorted() {
-		rr := sched.RunReport{Run: r.ID, Percent: r.done(w)}
+		rr := sched.RunReport{Run: r.ID, Percent: r.done()}
 		if r.spec.Serves() {
 			rr.Percent, rr.Load = 100, w.e.tail(w, r)
 		}
@@ -357,7 +357,7 @@
 	return rep
 }
 
-func (r *Run) done(w *Worker) int {
+func (r *Run) done() int {
 	if r.total <= 0 {
 		return 0
 	}
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -90,22 +90,21 @@
 	retry := newRetry()
 	for t.ctx.Err() == nil {
 		items, _, err := t.l.store.Range(t.ctx, t.l.MembersPrefix, false)
-		switch {
-		case err == nil:
-			if lost {
-				t.l.log.Info("store regained", "step", "read workers")
-			}
-			lost = false
-			retry.Reset()
-			t.postMembers(items)
-			pause(t.ctx, membersEvery)
-		default:
+		if err != nil {
 			if !lost && t.ctx.Err() == nil {
 				t.l.log.Warn("store lost", "step", "read workers", "error", err)
 			}
 			lost = true
 			pause(t.ctx, retry.NextBackOff())
+			continue
+		}
+		if lost {
+			t.l.log.Info("store regained", "step", "read workers")
 		}
+		lost = false
+		retry.Reset()
+		t.postMembers(items)
+		pause(t.ctx, membersEvery)
 	}
 }
 
--- a/pkg/sched/flow/job.go
+++ b/pkg/sched/flow/job.go
@@ -60,8 +60,6 @@
 	ready time.Time
 	// queued counts tasks that wait for a worker.
 	queued int
-	// gangRun is the number of the current run of a gang.
-	gangRun uint64
 	// placedOn counts runs by worker, for anti-affinity.
 	placedOn map[*worker]int
 	// blocked is why no task of the step could be placed in the last pass.
--- a/pkg/sched/flow/run.go
+++ b/pkg/sched/flow/run.go
@@ -68,7 +68,7 @@
 }
 
 // begin gives a task a run on a worker and orders the start.
-func (m *Machine) begin(t *task, w *worker, number uint64) *run {
+func (m *Machine) begin(t *task, w *worker, number uint64) {
 	m.dequeue(t, phaseActive)
 	t.number = max(t.number, number)
 	r := &run{
@@ -79,7 +79,6 @@
 	m.attach(r)
 	m.sendStart(r)
 	t.job().started = true
-	return r
 }
 
 // attach enters a run at its task and its worker.
--- a/pkg/sched/flow/trust.go
+++ b/pkg/sched/flow/trust.go
@@ -63,7 +63,7 @@
 		}
 	case sched.EndFailed:
 		// A task that failed elsewhere too says little about the worker.
-		if len(r.task.failed) > 0 && r.task.step.spec.Lasting == false && !onlyOn(r.task, w) {
+		if len(r.task.failed) > 0 && !r.task.step.spec.Lasting && !onlyOn(r.task, w) {
 			return
 		}
 		w.trust.failures++
