Move tasks that stand still

Cause: a worker on which nothing makes progress kept its tasks until it went on (the new test fails without the check: jobs are unfinished after 20 s).

--- a/pkg/sched/flow/fault_test.go
+++ b/pkg/sched/flow/fault_test.go
@@ -196,6 +196,26 @@
 	}
 }
 
+// Guards against work that waits for workers on which nothing makes progress.
+func TestTasksThatStandStillAreMoved(t *testing.T) {
+	e := emul.New(6)
+	e.AddWorkers(16, sched.Resources{CPU: 32000, Memory: 125 * gib})
+	e.AddQueue(sched.Queue{Name: "Q", MaxAttempts: 3})
+	e.Lead()
+	for range 20 {
+		e.Arrive(emul.Class{
+			Queue: sched.Queue{Name: "Q"}, Steps: 1, Width: 6, Took: time.Second,
+			Need: sched.Resources{CPU: 2000, Memory: gib},
+		})
+	}
+	e.RunFor(300 * time.Millisecond)
+	for _, w := range e.Workers[:4] {
+		w.SetHang(true)
+	}
+	requireSettled(t, e, 20*time.Second)
+	requireSound(t, e)
+}
+
 // Guards against a job that can never be done and is tried for ever.
 func TestHopelessJobFails(t *testing.T) {
 	e := emul.New(4)
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -169,6 +169,7 @@
 		m.tend(w)
 	}
 	m.moveSlowed()
+	m.stopStalled()
 	m.tidy()
 	m.forget()
 	m.stale = true
--- a/pkg/sched/flow/pace.go
+++ b/pkg/sched/flow/pace.go
@@ -218,6 +218,9 @@
 	r.pace.inCall = false
 	switch {
 	case msg.Err == nil && msg.Reply.Refusal == sched.OrderAccepted:
+		if msg.Percent > r.pace.have {
+			r.progressed = m.now // It could make little progress before.
+		}
 		w.depart(r, r.pace.have-msg.Percent, m.now)
 		r.pace.have = msg.Percent
 	case msg.Err != nil && !errors.Is(msg.Err, sched.ErrUnavailable):
