Soak the real program under faults from outside

Package stand plays the platform's store and workers over HTTP on loopback, with the emulator and its oracle behind it; the soak runs entries as processes with a proxy to the store each, and kills, pauses, stops and cuts them while callers submit, ask and cancel.

--- a/cmd/mangoslip/serve.go
+++ b/cmd/mangoslip/serve.go
@@ -152,7 +152,7 @@
 			st.Refused(d.Reason)
 		}
 		log.Info("request answered", "id", d.Job, "method", d.Method, "queue", d.Queue, "status", d.Status,
-			"reason", d.Reason, "took", d.Took, "config", d.Config, "error", d.Err)
+			"reason", d.Reason, "state", d.State, "took", d.Took, "config", d.Config, "error", d.Err)
 	}
 }
 
--- a/internal/emul/emul.go
+++ b/internal/emul/emul.go
@@ -78,6 +78,9 @@
 	Shown time.Time
 	State sched.JobState
 
+	// Runs counts the starts of its tasks.
+	Runs int
+
 	version sched.Version
 	// done and failed hold the ends that a leader has confirmed; fails counts
 	// all that failed, confirmed or not.
@@ -192,6 +195,9 @@
 	return j
 }
 
+// Expect tells the oracle of a job that is submitted elsewhere.
+func (e *Emulator) Expect(w *sched.Workflow, work Work) *Job { return e.Submit(w, work) }
+
 // Cancel stores the cancellation of a job.
 func (e *Emulator) Cancel(j *Job) {
 	j.Cancelled = e.now
--- a/internal/emul/oracle.go
+++ b/internal/emul/oracle.go
@@ -11,6 +11,7 @@
 // started judges a start that a worker carries out.
 func (e *Emulator) started(w *Worker, r *Run) {
 	e.Counts["Runs"]++
+	r.job.Runs++
 	t := r.ID.Task
 	if r.job.done[t] {
 		e.violate("%s run %d starts on %s after its end was confirmed", name(t), r.ID.Number, w.Member.Worker)
--- a/internal/emul/orders.go
+++ b/internal/emul/orders.go
@@ -58,7 +58,7 @@
 	l.e.Counts["Starts"]++
 	sent, name := l.e.now, cmd.Member.Worker
 	l.deliver(name, func(w *Worker, answer func(func())) {
-		reply := w.start(cmd.Order)
+		reply := w.Start(cmd.Order)
 		answer(func() {
 			l.post(flow.StartResultMsg{Result: result(name, sent, nil), Run: cmd.Order.Run, Reply: reply})
 		})
@@ -71,7 +71,7 @@
 	l.e.Counts["Stops"]++
 	sent, name := l.e.now, cmd.Member.Worker
 	l.deliver(name, func(w *Worker, answer func(func())) {
-		reply := w.stop(cmd.Order)
+		reply := w.Stop(cmd.Order)
 		answer(func() {
 			l.post(flow.StopResultMsg{Result: result(name, sent, nil), Run: cmd.Order.Run, Reply: reply})
 		})
@@ -84,7 +84,7 @@
 	l.e.Counts["Paces"]++
 	sent, name := l.e.now, cmd.Member.Worker
 	l.deliver(name, func(w *Worker, answer func(func())) {
-		reply := w.setPace(cmd.Order)
+		reply := w.SetPace(cmd.Order)
 		answer(func() {
 			l.post(flow.PaceResultMsg{
 				Result: result(name, sent, nil), Run: cmd.Order.Run, Percent: cmd.Order.Percent, Reply: reply,
@@ -100,7 +100,7 @@
 	sent, name := l.e.now, cmd.Member.Worker
 	answered := false
 	l.deliver(name, func(w *Worker, answer func(func())) {
-		w.hold(cmd.Order, func(rep sched.HoldReport) {
+		w.Hold(cmd.Order, func(rep sched.HoldReport) {
 			answer(func() {
 				if !answered {
 					answered = true
--- a/internal/emul/worker.go
+++ b/internal/emul/worker.go
@@ -112,6 +112,9 @@
 	w.e.After(after, w.Remove)
 }
 
+// Up reports whether the worker lives.
+func (w *Worker) Up() bool { return w.up }
+
 // Running returns the number of runs on the worker.
 func (w *Worker) Running() int { return len(w.runs) }
 
@@ -232,8 +235,8 @@
 	return sched.OrderReply{Refusal: refusal, Clock: w.clock(), HasClock: true}
 }
 
-// start carries out a start.
-func (w *Worker) start(o sched.StartOrder) sched.OrderReply {
+// Start carries out a start.
+func (w *Worker) Start(o sched.StartOrder) sched.OrderReply {
 	w.settle()
 	if !w.check(o.Fence) {
 		return w.reply(sched.OrderFenced)
@@ -278,8 +281,8 @@
 	stopTime  = 200 * time.Millisecond
 )
 
-// stop carries out a stop.
-func (w *Worker) stop(o sched.StopOrder) sched.OrderReply {
+// Stop carries out a stop.
+func (w *Worker) Stop(o sched.StopOrder) sched.OrderReply {
 	w.settle()
 	if !w.check(o.Fence) {
 		return w.reply(sched.OrderFenced)
@@ -296,8 +299,8 @@
 	return w.reply(sched.OrderAccepted)
 }
 
-// setPace carries out a pace.
-func (w *Worker) setPace(o sched.PaceOrder) sched.OrderReply {
+// SetPace carries out a pace.
+func (w *Worker) SetPace(o sched.PaceOrder) sched.OrderReply {
 	w.settle()
 	if !w.check(o.Fence) {
 		return w.reply(sched.OrderFenced)
@@ -309,9 +312,9 @@
 	return w.reply(sched.OrderAccepted)
 }
 
-// hold carries out a hold and calls reply with the report, at once or when a
+// Hold carries out a hold and calls reply with the report, at once or when a
 // run ends.
-func (w *Worker) hold(o sched.HoldOrder, reply func(sched.HoldReport)) {
+func (w *Worker) Hold(o sched.HoldOrder, reply func(sched.HoldReport)) {
 	w.settle()
 	if !w.check(o.Fence) {
 		reply(sched.HoldReport{Refusal: sched.OrderFenced, Clock: w.clock()})
--- /dev/null
+++ b/internal/soak/proc_test.go
@@ -0,0 +1,199 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mangoslip/mangoslip/platform/setup"
+	"github.com/mangoslip/mangoslip/platform/stand"
+)
+
+// proxy passes connections of one entry on to the store.
+type proxy struct {
+	l     net.Listener
+	to    string
+	cut   atomic.Bool
+	delay atomic.Int64
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+}
+
+func newProxy(t *testing.T, to netip.AddrPort) *proxy {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	p := &proxy{l: l, to: to.String(), conns: map[net.Conn]bool{}}
+	go p.accept()
+	t.Cleanup(func() { _ = l.Close(); p.reset() })
+	return p
+}
+
+func (p *proxy) addr() netip.AddrPort { return netip.MustParseAddrPort(p.l.Addr().String()) }
+
+func (p *proxy) accept() {
+	for {
+		c, err := p.l.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(c)
+	}
+}
+
+func (p *proxy) serve(c net.Conn) {
+	up, err := net.Dial("tcp", p.to)
+	if err != nil {
+		_ = c.Close()
+		return
+	}
+	p.mu.Lock()
+	p.conns[c], p.conns[up] = true, true
+	p.mu.Unlock()
+	go p.copy(up, c)
+	p.copy(c, up)
+}
+
+// copy passes bytes on; while the way is cut they are held back for ever, as
+// by a partition.
+func (p *proxy) copy(to, from net.Conn) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		for p.cut.Load() && err == nil {
+			time.Sleep(10 * time.Millisecond)
+			if !p.has(from) {
+				return
+			}
+		}
+		time.Sleep(time.Duration(p.delay.Load()))
+		if n > 0 {
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				err = werr
+			}
+		}
+		if err != nil {
+			_ = to.Close()
+			_ = from.Close()
+			p.mu.Lock()
+			delete(p.conns, from)
+			p.mu.Unlock()
+			return
+		}
+	}
+}
+
+func (p *proxy) has(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conns[c]
+}
+
+// reset closes all connections.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		_ = c.Close()
+		delete(p.conns, c)
+	}
+}
+
+// process is an entry that is kept running.
+type process struct {
+	t     *testing.T
+	name  string
+	bin   string
+	file  string
+	out   *os.File
+	proxy *proxy
+	front string
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
+	over bool
+}
+
+// newProcess starts an entry on four ports that begin with the given one.
+func newProcess(t *testing.T, dir, bin, name string, port int, s *stand.Stand) *process {
+	p := &process{
+		t: t, name: name, bin: bin, file: filepath.Join(dir, name+".conf"),
+		proxy: newProxy(t, s.StoreAddr), front: fmt.Sprintf("http://127.0.0.1:%d", port),
+	}
+	require.NoError(t, os.WriteFile(p.file, stand.Settings(name, "dc0", port, p.proxy.addr()), 0o600))
+	out, err := os.Create(filepath.Join(dir, name+".log"))
+	require.NoError(t, err)
+	p.out = out
+	p.start(port)
+	return p
+}
+
+func (p *process) start(port int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.over {
+		return
+	}
+	cmd := exec.Command(p.bin, "serve", "-metrics-port", fmt.Sprint(port+3), "-carry-from", "4")
+	cmd.Env = append(os.Environ(), setup.Variable+"="+p.file)
+	cmd.Stdout, cmd.Stderr = p.out, p.out
+	if err := cmd.Start(); err != nil {
+		p.t.Errorf("start %s: %v", p.name, err)
+		return
+	}
+	done := make(chan struct{})
+	p.cmd, p.done = cmd, done
+	go func() {
+		_ = cmd.Wait() // How it ended is of no interest; it is started again.
+		close(done)
+		time.Sleep(200 * time.Millisecond)
+		p.start(port)
+	}()
+}
+
+// signal sends a signal to the process that this test started.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil && p.cmd.Process != nil {
+		_ = p.cmd.Process.Signal(s) // It may have ended meanwhile.
+	}
+}
+
+// end ends the process for good.
+func (p *process) end() {
+	p.mu.Lock()
+	p.over = true
+	done := p.done
+	p.mu.Unlock()
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGKILL)
+	if done != nil {
+		<-done
+	}
+	_ = p.out.Close()
+}
+
+// build builds the program once for all seeds.
+var build = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return "", err
+	}
+	bin := filepath.Join(dir, "mangoslip")
+	cmd := exec.Command("go", "build", "-o", bin, "github.com/mangoslip/mangoslip/cmd/mangoslip")
+	cmd.Stderr = io.Discard
+	return bin, cmd.Run()
+})
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,235 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mangoslip/mangoslip/internal/emul"
+	"github.com/mangoslip/mangoslip/internal/layout"
+	"github.com/mangoslip/mangoslip/platform/stand"
+)
+
+const (
+	entries   = 4
+	workers   = 6
+	firstPort = 21000
+	// portsPerSeed keeps seeds that run one after another off ports in
+	// TIME_WAIT.
+	portsPerSeed = 40
+	strikes      = 10 * time.Second
+	settles      = 40 * time.Second
+)
+
+// seeds returns the seeds to run.
+func seeds(t *testing.T) []int {
+	if v := os.Getenv("MANGOSLIP_SOAK_SEED"); v != "" {
+		n, err := strconv.Atoi(v)
+		require.NoError(t, err)
+		return []int{n}
+	}
+	count := 1
+	if v := os.Getenv("MANGOSLIP_SOAK_SEEDS"); v != "" {
+		n, err := strconv.Atoi(v)
+		require.NoError(t, err)
+		count = n
+	}
+	out := make([]int, count)
+	for i := range out {
+		out[i] = i + 1
+	}
+	return out
+}
+
+// Guards against a failure of real processes that runs a task twice, loses an
+// accepted job, tells a caller something untrue, or leaves work undone once the
+// faults are over.
+func TestSoak(t *testing.T) {
+	for _, seed := range seeds(t) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { soak(t, seed) })
+	}
+}
+
+func soak(t *testing.T, seed int) {
+	bin, err := build()
+	require.NoError(t, err)
+	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
+	require.NoError(t, err)
+	s, err := stand.New(uint64(seed), workers)
+	require.NoError(t, err)
+	defer s.Close()
+	s.Configure(1, host, prefix)
+	var procs []*process
+	var fronts []string
+	for i := range entries {
+		p := newProcess(t, dir, bin, fmt.Sprintf("e%d", i), firstPort+seed%200*portsPerSeed+i*8, s)
+		defer p.end()
+		procs = append(procs, p)
+		fronts = append(fronts, p.front)
+	}
+	c := newCallers(s, fronts)
+	time.Sleep(1500 * time.Millisecond)
+	f := &faults{rand: rand.New(rand.NewPCG(uint64(seed), 1)), s: s, procs: procs}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.run(strikes)
+	}()
+	work(c, seed, done)
+	f.heal()
+	settle(c)
+	verdict(t, c, s, dir, f.log)
+}
+
+// work lets callers work until done is closed.
+func work(c *callers, seed int, done chan struct{}) {
+	r := rand.New(rand.NewPCG(uint64(seed), 2))
+	for {
+		select {
+		case <-done:
+			return
+		case <-time.After(time.Duration(60+r.IntN(60)) * time.Millisecond):
+		}
+		go c.submit(seed, 6)
+		for _, o := range c.open() {
+			if r.IntN(8) == 0 {
+				go c.ask(o, r.IntN(entries))
+			}
+			if r.IntN(300) == 0 {
+				go c.cancel(o, r.IntN(entries))
+			}
+		}
+	}
+}
+
+// settle asks for the jobs until all are shown ended.
+func settle(c *callers) {
+	time.Sleep(4 * time.Second)
+	for end := time.Now().Add(settles); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		open := c.open()
+		if len(open) == 0 {
+			return
+		}
+		for i, o := range open {
+			c.ask(o, i)
+		}
+	}
+}
+
+// verdict judges what callers and workers saw.
+func verdict(t *testing.T, c *callers, s *stand.Stand, dir string, log []string) {
+	t.Helper()
+	accepted := 0
+	for _, o := range c.open() {
+		c.fault("job %s is %q at the end", o.id, o.state)
+	}
+	s.With(func(e *emul.Emulator) {
+		for _, o := range c.orders {
+			if !o.accepted.IsZero() {
+				accepted++
+			}
+			if o.rejected && o.job.Runs > 0 {
+				c.faults = append(c.faults, fmt.Sprintf("job %s was rejected by all and has run", o.id))
+			}
+		}
+		c.faults = append(c.faults, e.Violations...)
+	})
+	if len(c.faults) > 0 {
+		t.Errorf("%d of %d jobs accepted; logs in %s\nfaults: %v", accepted, len(c.orders), dir, log)
+		for _, f := range c.faults {
+			t.Error(f)
+		}
+		return
+	}
+	require.NotZero(t, accepted)
+	t.Logf("%d of %d jobs accepted, faults: %v", accepted, len(c.orders), log)
+	_ = os.RemoveAll(dir) // Logs are kept only of seeds that fail.
+}
+
+// faults strikes at random.
+type faults struct {
+	rand  *rand.Rand
+	s     *stand.Stand
+	procs []*process
+	log   []string
+}
+
+func (f *faults) run(span time.Duration) {
+	began := time.Now()
+	for time.Since(began) < span {
+		f.strike(time.Since(began))
+		time.Sleep(time.Duration(300+f.rand.IntN(1200)) * time.Millisecond)
+	}
+}
+
+// strike lets one fault begin. Those that last end by themselves.
+func (f *faults) strike(at time.Duration) {
+	p := f.procs[f.rand.IntN(len(f.procs))]
+	span := time.Duration(300+f.rand.IntN(3500)) * time.Millisecond
+	kinds := []struct {
+		name   string
+		strike func()
+	}{
+		{"kill", func() { p.signal(syscall.SIGKILL) }},
+		{"term", func() { p.signal(syscall.SIGTERM) }},
+		{"hup", func() { p.signal(syscall.SIGHUP) }},
+		{"pause", func() {
+			p.signal(syscall.SIGSTOP)
+			time.AfterFunc(span, func() { p.signal(syscall.SIGCONT) })
+		}},
+		{"killAll", func() {
+			for _, x := range f.procs {
+				x.signal(syscall.SIGKILL)
+			}
+		}},
+		{"cut", func() {
+			p.proxy.cut.Store(true)
+			time.AfterFunc(span, func() { p.proxy.cut.Store(false) })
+		}},
+		{"delay", func() {
+			p.proxy.delay.Store(int64(150 * time.Millisecond))
+			time.AfterFunc(span, func() { p.proxy.delay.Store(0) })
+		}},
+		{"reset", p.proxy.reset},
+		{"storeDown", func() {
+			f.s.Store.SetDown(true)
+			time.AfterFunc(span, func() { f.s.Store.SetDown(false) })
+		}},
+		{"loseWrites", func() { f.s.Store.LoseNext(3) }},
+		{"revoke", func() { f.s.Store.Remove(layout.LeaderKey) }},
+		{"compact", f.s.Store.Compact},
+		{"crash", func() {
+			n := f.rand.IntN(workers)
+			f.s.With(func(e *emul.Emulator) {
+				if e.Workers[n].Up() {
+					e.Workers[n].Crash(span)
+				}
+			})
+		}},
+		{"loseAnswers", func() {
+			f.s.With(func(e *emul.Emulator) { e.LoseAnswers = 0.1 })
+			time.AfterFunc(span, func() { f.s.With(func(e *emul.Emulator) { e.LoseAnswers = 0 }) })
+		}},
+	}
+	k := kinds[f.rand.IntN(len(kinds))]
+	f.log = append(f.log, fmt.Sprintf("%.1fs %s %s", at.Seconds(), k.name, p.name))
+	k.strike()
+}
+
+// heal ends all faults.
+func (f *faults) heal() {
+	for _, p := range f.procs {
+		p.proxy.cut.Store(false)
+		p.proxy.delay.Store(0)
+		p.signal(syscall.SIGCONT)
+	}
+	f.s.Store.SetDown(false)
+	f.s.Store.LoseNext(0)
+	f.s.With(func(e *emul.Emulator) { e.LoseAnswers = 0 })
+}
