Close runs whose stop is confirmed, and show no states of a former leader

The tests of the election ask for the machine itself, as an unconfirmed leader no longer vouches for states.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -253,10 +253,15 @@
 	if state, ok := s.ended.get(id); ok {
 		return state, nil
 	}
-	state, known := s.stateOfLeader(ctx, id)
-	if !known {
-		var err error
-		if state, err = s.stored(ctx, id); err != nil {
+	state, known, sure := s.stateOfLeader(ctx, id)
+	if !sure {
+		// What an entry says that may have been replaced counts only while the
+		// store cannot be read.
+		stored, err := s.stored(ctx, id)
+		switch {
+		case err == nil:
+			state = stored
+		case !known || !isUnreachable(err):
 			return 0, err
 		}
 	}
@@ -266,21 +271,32 @@
 	return state, nil
 }
 
-// stateOfLeader asks the machine of the leader, here or at another entry.
-func (s *Service) stateOfLeader(ctx context.Context, id sched.JobID) (sched.JobState, bool) {
-	if state, known, leads := s.leader.State(id); leads {
-		return state, known
+// isUnreachable reports whether a request failed because the store was not
+// reached.
+func isUnreachable(err error) bool {
+	refusal := (*sched.Refusal)(nil)
+	return errors.As(err, &refusal) && refusal.Reason == sched.ReasonStoreUnavailable
+}
+
+// stateOfLeader asks the machine of the leader, here or at another entry. It
+// reports whether the job is known there, and whether that is sure to be the
+// leader.
+func (s *Service) stateOfLeader(ctx context.Context, id sched.JobID) (state sched.JobState, known, sure bool) {
+	state, known, sure = s.leader.State(id)
+	if known || sure {
+		return state, known, known && sure
 	}
 	e, ok := s.leading()
 	if !ok {
-		return 0, false
+		return 0, false, false
 	}
 	a, err := s.ask(ctx, e, relay.Question{Verb: relay.VerbState, Job: id}, stateTimeout)
 	if err != nil {
 		s.log.Info("leader does not answer", "id", id, "leader", e.Name, "error", err)
-		return 0, false
+		return 0, false, false
 	}
-	return a.State, a.Reason == ""
+	known = a.Reason == ""
+	return a.State, known, known && !a.Stale
 }
 
 // leading returns the entry that is believed to lead, if it is another one.
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -24,6 +24,31 @@
 func (noLeader) Waiting(sched.QueueName) (int, bool)            { return 0, false }
 func (noLeader) Heard(layout.Leader)                            {}
 
+// replaced is an entry that led and has not heard of its successor.
+type replaced struct{ noLeader }
+
+func (replaced) State(sched.JobID) (sched.JobState, bool, bool) { return sched.JobRunning, true, false }
+
+// Guards against an entry that was replaced as leader and shows a job in a state
+// that it has left.
+func TestReplacedLeaderDoesNotShowOldStates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		client := store.Client()
+		s := jobs.New(client, replaced{}, others{})
+		require.NoError(t, s.Submit(request(t), job("1")))
+		store.Put(layout.CancelKey("1"), layout.Encode(1))
+		state, err := s.State(request(t), "1")
+		require.NoError(t, err)
+		require.Equal(t, sched.JobCancelled, state)
+		require.NoError(t, s.Submit(request(t), job("2")))
+		client.Cut(true)
+		state, err = s.State(request(t), "2")
+		require.NoError(t, err, "while the store is away, what it knows is better than nothing")
+		require.Equal(t, sched.JobRunning, state)
+	})
+}
+
 // others is a list of entries that answer with their services.
 type others []*jobs.Service
 
--- a/internal/jobs/stored.go
+++ b/internal/jobs/stored.go
@@ -78,8 +78,9 @@
 	case relay.VerbState:
 		state, known, leads := s.leader.State(q.Job)
 		a.State = state
+		a.Stale = !leads
 		switch {
-		case !leads:
+		case !leads && !known:
 			a.Reason, a.Outcome = sched.ReasonNotOwner, sched.NotRun
 		case !known:
 			a.Reason, a.Outcome = sched.ReasonUnknownJob, sched.NotRun
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -205,7 +205,7 @@
 }
 
 // State returns the state of a job, whether it is known, and whether this
-// entry leads.
+// entry surely leads.
 func (l *Leader) State(id sched.JobID) (state sched.JobState, known, leads bool) {
 	t := l.ready()
 	if t == nil {
@@ -214,7 +214,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	state, _, known = t.machine.State(id)
-	return state, known, true
+	return state, known, t.machine.Confirmed(time.Now())
 }
 
 // Waiting returns the length of a queue and whether this entry leads.
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -203,7 +203,7 @@
 func (s *site) leading() []*entry {
 	var out []*entry
 	for _, e := range s.entries {
-		if _, _, leads := e.State("none"); leads {
+		if _, leads := e.Totals(); leads {
 			out = append(out, e)
 		}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -61,6 +61,8 @@
 	Reason     sched.Reason   `cbor:"3,keyasint,omitempty"`
 	Outcome    sched.Outcome  `cbor:"4,keyasint,omitempty"`
 	RetryAfter time.Duration  `cbor:"5,keyasint,omitempty"`
+	// Stale means that the answering entry may have been replaced as leader.
+	Stale bool `cbor:"7,keyasint,omitempty"`
 	// Leader is whom the answering entry believes to lead.
 	Leader layout.Leader `cbor:"6,keyasint"`
 }
--- a/pkg/sched/flow/fault_test.go
+++ b/pkg/sched/flow/fault_test.go
@@ -216,6 +216,23 @@
 	requireSound(t, e)
 }
 
+// Guards against a run that stays open for ever: its start reached nobody, the
+// stop that followed was confirmed, and each repeated stop put the proof off.
+func TestStartIntoADyingWorker(t *testing.T) {
+	e := emul.New(11)
+	e.AddWorkers(2, sched.Resources{CPU: 32000, Memory: 125 * gib})
+	e.AddQueue(sched.Queue{Name: "Q", MaxAttempts: 3})
+	e.Lead()
+	long := sched.StepSpec{Count: 2, Resources: sched.Resources{CPU: 1000}, AntiAffinity: 1, Lasting: true}
+	e.Submit(&sched.Workflow{ID: "long", Queue: "Q", Steps: []sched.StepSpec{long}}, emul.Work{})
+	e.RunFor(time.Second)
+	e.Workers[0].Crash(800 * time.Millisecond)
+	short := sched.StepSpec{Count: 8, Resources: sched.Resources{CPU: 1000}}
+	e.Submit(&sched.Workflow{ID: "short", Queue: "Q", Steps: []sched.StepSpec{short}}, emul.Work{Took: 500 * time.Millisecond})
+	requireSettled(t, e, 6*time.Second)
+	requireSound(t, e)
+}
+
 // Guards against a job that can never be done and is tried for ever.
 func TestHopelessJobFails(t *testing.T) {
 	e := emul.New(4)
--- a/pkg/sched/flow/run.go
+++ b/pkg/sched/flow/run.go
@@ -270,7 +270,9 @@
 		w.replaced = true
 	default:
 		w.contactAt = m.now
-		r.stopKnown = m.now
+		if r.stopKnown.IsZero() {
+			r.stopKnown = m.now
+		}
 	}
 	m.tend(w)
 }
