Let the stand-in of the election's tests report progress

Cause: TestLeaderDies and TestStoreIsDown failed since tasks that stand still are moved: the stand-in always reported 0 percent. The platform's workers report progress; the stand-in does now. Ruled out: a fault of the election (the runs were stopped with cause "stands still").

--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -103,8 +103,9 @@
 		}
 		if len(w.ends) > 0 || !time.Now().Before(deadline) {
 			rep := sched.HoldReport{Clock: time.Second, Born: 1, Ended: append([]sched.RunEnd(nil), w.ends...)}
-			for r := range w.runs {
-				rep.Running = append(rep.Running, sched.RunReport{Run: r})
+			for r, at := range w.runs {
+				percent := int(100 * time.Since(at) / w.took)
+				rep.Running = append(rep.Running, sched.RunReport{Run: r, Percent: percent})
 			}
 			w.mu.Unlock()
 			return rep, nil
