Answer an open submission at once when the store is lost

The new test fails without the change. The first record of a term also went out before the state was loaded, and always failed once. Change: the request is answered with 504 at once, so that the caller repeats it at another entry; nothing is recorded before the state is loaded.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -193,6 +193,11 @@
 		case !errors.Is(err, sched.ErrUnavailable):
 			open = true
 		}
+		if s.health.Lost() {
+			// The caller is better off asking another entry with the same id
+			// than waiting here.
+			return result{err: err, open: true}
+		}
 		select {
 		case <-ctx.Done():
 			return result{err: err, open: true}
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -124,6 +124,19 @@
 	})
 }
 
+// Guards against a request that is held until its caller's time is up although
+// the store breaks every connection, and against a refusal that is not certain.
+func TestSubmitOpenIsAnsweredSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		store.SetReset(true)
+		s := jobs.New(store.Client(), noLeader{}, others{})
+		began := time.Now()
+		requireRefused(t, s.Submit(request(t), job("1")), sched.ReasonStoreUnavailable, sched.Unknown)
+		require.Less(t, time.Since(began), 500*time.Millisecond)
+	})
+}
+
 // Guards against an entry that refuses what another one could record.
 func TestSubmitThroughAnotherEntry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -32,6 +32,7 @@
 	oldest  sched.Version
 	changed chan struct{}
 	down    bool
+	reset   bool
 	lose    int
 	calls   int
 }
@@ -80,6 +81,15 @@
 	s.wake()
 }
 
+// SetReset lets every call fail without saying whether it was carried out; none
+// is. Or it ends that.
+func (s *Store) SetReset(reset bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reset = reset
+	s.wake()
+}
+
 // LoseNext lets the next n writes take effect without an answer.
 func (s *Store) LoseNext(n int) {
 	s.mu.Lock()
@@ -170,6 +180,10 @@
 	c.mu.Lock()
 	c.calls++
 	c.expire()
+	if c.reset {
+		c.mu.Unlock()
+		return sched.ErrLost
+	}
 	if c.down || c.cut {
 		c.mu.Unlock()
 		return sched.ErrUnavailable
--- a/pkg/sched/flow/commit.go
+++ b/pkg/sched/flow/commit.go
@@ -83,7 +83,7 @@
 // commit sends what has to be recorded.
 func (m *Machine) commit() {
 	c := &m.commits
-	if m.now.Before(c.notFrom) || len(c.flying) >= commitLanes {
+	if !m.loaded || m.now.Before(c.notFrom) || len(c.flying) >= commitLanes {
 		return
 	}
 	if m.roster.dirty && !m.roster.flying {
