--- /dev/null
+++ b/internal/carry/carry_test.go
@@ -0,0 +1,203 @@
+package carry_test
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mangoslip/mangoslip/internal/carry"
+	"github.com/mangoslip/mangoslip/pkg/sched"
+)
+
+// workers answers orders after a time and counts them.
+type workers struct {
+	mu     sync.Mutex
+	took   time.Duration
+	err    error
+	starts int
+}
+
+func (w *workers) Start(ctx context.Context, _ sched.Member, o sched.StartOrder) (sched.OrderReply, error) {
+	w.mu.Lock()
+	w.starts++
+	took, err := w.took, w.err
+	w.mu.Unlock()
+	select {
+	case <-time.After(took):
+	case <-ctx.Done():
+		return sched.OrderReply{}, sched.ErrLost
+	}
+	return sched.OrderReply{Clock: o.Deadline, HasClock: true}, err
+}
+
+func (w *workers) Stop(context.Context, sched.Member, sched.StopOrder) (sched.OrderReply, error) {
+	return sched.OrderReply{Refusal: sched.OrderFenced}, nil
+}
+
+func (w *workers) Pace(context.Context, sched.Member, sched.PaceOrder) (sched.OrderReply, error) {
+	return sched.OrderReply{}, nil
+}
+
+func (w *workers) Hold(_ context.Context, _ sched.Member, o sched.HoldOrder) (sched.HoldReport, error) {
+	time.Sleep(o.Wait)
+	return sched.HoldReport{Born: 7}, nil
+}
+
+var member = sched.Member{Worker: "w1", Addr: netip.MustParseAddrPort("127.0.0.1:1")}
+
+// site is a pool with carriers that may fail.
+type site struct {
+	direct, carried *workers
+	carriers        map[netip.AddrPort]*carry.Carrier
+	addrs           []netip.AddrPort
+	mu              sync.Mutex
+	broken          bool
+	batches         int
+	notes           []string
+}
+
+func newSite(carriers int) *site {
+	s := &site{direct: &workers{}, carried: &workers{took: 2 * time.Millisecond}, carriers: map[netip.AddrPort]*carry.Carrier{}}
+	for i := range carriers {
+		a := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i+1))
+		s.addrs = append(s.addrs, a)
+		s.carriers[a] = carry.NewCarrier(s.carried)
+	}
+	return s
+}
+
+func (s *site) pool(ctx context.Context, term uint64) *carry.Pool {
+	return carry.NewPool(ctx, term, s.direct, s.hand, func() []netip.AddrPort { return s.addrs },
+		func(event string, _ ...any) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.notes = append(s.notes, event)
+		})
+}
+
+// noted reports whether an event was noted.
+func (s *site) noted(event string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Contains(s.notes, event)
+}
+
+func (s *site) hand(ctx context.Context, addr netip.AddrPort, b carry.Batch) (carry.Results, error) {
+	s.mu.Lock()
+	s.batches++
+	broken := s.broken
+	s.mu.Unlock()
+	if broken {
+		return carry.Results{}, errors.New("reset")
+	}
+	return s.carriers[addr].Carry(ctx, b), nil
+}
+
+// bounded returns a context that ends with the test, with time for what runs
+// under it to end as well.
+func bounded(t *testing.T) context.Context {
+	ctx, stop := context.WithCancel(t.Context())
+	t.Cleanup(func() {
+		stop()
+		time.Sleep(2 * time.Minute)
+	})
+	return ctx
+}
+
+func start(t *testing.T, p *carry.Pool) (sched.OrderReply, error) {
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	return p.Start(ctx, member, sched.StartOrder{Deadline: time.Second})
+}
+
+// Guards against answers that are lost or mixed up on the way, and against a
+// call for each order.
+func TestCarry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := bounded(t)
+		s := newSite(2)
+		p := s.pool(ctx, 1)
+		var wg sync.WaitGroup
+		for i := range 100 {
+			wg.Go(func() {
+				c, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+				defer cancel()
+				reply, err := p.Start(c, member, sched.StartOrder{Deadline: time.Duration(i)})
+				require.NoError(t, err)
+				require.Equal(t, time.Duration(i), reply.Clock)
+			})
+		}
+		wg.Wait()
+		require.Equal(t, 100, s.carried.starts)
+		require.Zero(t, s.direct.starts)
+		require.Less(t, s.batches, 20)
+		reply, err := p.Stop(ctx, member, sched.StopOrder{})
+		require.NoError(t, err)
+		require.Equal(t, sched.OrderFenced, reply.Refusal, "a refusal is no failure")
+		rep, err := p.Hold(ctx, member, sched.HoldOrder{Wait: 200 * time.Millisecond})
+		require.NoError(t, err)
+		require.Equal(t, int64(7), rep.Born)
+	})
+}
+
+// Guards against an order that is said not to be carried out although a carrier
+// has it, and against a carrier that is used again at once.
+func TestCarrierFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := bounded(t)
+		s := newSite(1)
+		p := s.pool(ctx, 1)
+		s.broken = true
+		_, err := start(t, p)
+		require.ErrorIs(t, err, sched.ErrLost)
+		require.NotErrorIs(t, err, sched.ErrUnavailable)
+		require.True(t, s.noted("carrier rests"))
+		_, err = start(t, p)
+		require.NoError(t, err, "the leader sends itself meanwhile")
+		require.Equal(t, 1, s.direct.starts)
+		s.mu.Lock()
+		s.broken = false
+		s.mu.Unlock()
+		time.Sleep(4 * time.Second)
+		_, err = start(t, p)
+		require.NoError(t, err)
+		require.Equal(t, 1, s.carried.starts)
+	})
+}
+
+// Guards against a failure of a worker that changes its meaning on the way.
+func TestErrorsKeepTheirMeaning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := bounded(t)
+		s := newSite(1)
+		p := s.pool(ctx, 1)
+		for _, want := range []error{sched.ErrUnavailable, sched.ErrLost} {
+			s.carried.mu.Lock()
+			s.carried.err = want
+			s.carried.mu.Unlock()
+			_, err := start(t, p)
+			require.ErrorIs(t, err, want)
+		}
+		s.carried.mu.Lock()
+		s.carried.err, s.carried.took = nil, time.Minute
+		s.carried.mu.Unlock()
+		_, err := start(t, p)
+		require.ErrorIs(t, err, sched.ErrLost, "no answer in time")
+	})
+}
+
+// Guards against a carrier that serves a former leader after its successor.
+func TestFormerLeaderIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := carry.NewCarrier(&workers{})
+		require.False(t, c.Carry(t.Context(), carry.Batch{Term: 2}).Refused)
+		require.True(t, c.Carry(t.Context(), carry.Batch{Term: 1}).Refused)
+	})
+}
--- /dev/null
+++ b/internal/daemon/daemon_test.go
@@ -0,0 +1,102 @@
+package daemon
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mangoslip/mangoslip/internal/layout"
+	"github.com/mangoslip/mangoslip/internal/leader"
+	"github.com/mangoslip/mangoslip/internal/memory"
+	"github.com/mangoslip/mangoslip/pkg/sched"
+)
+
+// newEntry returns an entry that does not run. It keeps what was applied.
+func newEntry(applied *[]string) *Entry {
+	return New(Settings{Name: "e"}, Platform{
+		Store: memory.New().Client(), ConfigKey: "op",
+		Apply: func(value []byte) (*sched.Fleet, error) {
+			if string(value) == "bad" {
+				return nil, errors.New("not a configuration")
+			}
+			*applied = append(*applied, string(value))
+			return &sched.Fleet{Revision: uint64(len(*applied))}, nil
+		},
+		Leader: leader.Settings{MembersPrefix: "m/"},
+	})
+}
+
+func item(version sched.Version, value string) sched.Item {
+	return sched.Item{Key: "op", Version: version, Value: []byte(value)}
+}
+
+// Guards against a configuration that gives way to an older one, whichever of
+// the read and the watch delivers it late.
+func TestConfigurationNeverReverts(t *testing.T) {
+	var applied []string
+	e := newEntry(&applied)
+	e.applyConfig(item(5, "five"), "watch")
+	e.applyConfig(item(4, "four"), "read")
+	e.applyConfig(item(5, "five"), "read")
+	e.applyConfig(item(9, "bad"), "watch")
+	e.applyConfig(item(7, "seven"), "read")
+	require.Equal(t, []string{"five"}, applied, "version 9 was accepted by the store, so 7 is older")
+	e.applyConfig(item(11, "eleven"), "watch")
+	require.Equal(t, []string{"five", "eleven"}, applied)
+}
+
+// ready returns the status of the balancer's check.
+func ready(e *Entry) int {
+	w := httptest.NewRecorder()
+	e.serveReady(w, httptest.NewRequest(http.MethodGet, "/", nil))
+	return w.Code
+}
+
+// Guards against an entry that takes callers it can only refuse.
+func TestReady(t *testing.T) {
+	var applied []string
+	e := newEntry(&applied)
+	require.Equal(t, http.StatusServiceUnavailable, ready(e), "no configuration yet")
+	e.applyConfig(item(1, "one"), "read")
+	require.Equal(t, http.StatusOK, ready(e))
+	lost := errors.New("reset")
+	e.jobs.Health().Note(lost)
+	e.jobs.Health().Note(lost)
+	require.Equal(t, http.StatusServiceUnavailable, ready(e), "neither store nor peers")
+	e.peers.note("other", nil, time.Now())
+	require.Equal(t, http.StatusOK, ready(e), "another entry answers")
+	e.stopping.Store(true)
+	require.Equal(t, http.StatusServiceUnavailable, ready(e), "planned stop")
+}
+
+func entryOf(name string, port uint16, processors float64) layout.Entry {
+	return layout.Entry{
+		Name: sched.EntryName(name), Processors: processors,
+		Addr: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port),
+	}
+}
+
+// Guards against carriers that do not answer, and against weak entries that
+// carry while strong ones idle.
+func TestCarriers(t *testing.T) {
+	var p peers
+	now := time.Now()
+	p.set([]layout.Entry{entryOf("a", 1, 0.1), entryOf("b", 2, 0.8), entryOf("c", 3, 0.8), entryOf("me", 4, 0.8)}, now)
+	addrs := func(at time.Time) []uint16 {
+		var out []uint16
+		for _, a := range p.carriers("me", 2, at) {
+			out = append(out, a.Port())
+		}
+		return out
+	}
+	require.Equal(t, []uint16{2, 3}, addrs(now))
+	p.note("b", errors.New("reset"), now)
+	require.Equal(t, []uint16{3, 1}, addrs(now))
+	require.Equal(t, []uint16{2, 3}, addrs(now.Add(carrierRest+time.Second)))
+	require.Empty(t, addrs(now.Add(carrierSeen+time.Second)), "not listed lately")
+}
