Bound the wait for room near the data and for harmless neighbours

Cause: found by reading. A task waited up to twice its duration for room near its data, and a filling one 10 s for harmless neighbours, also while most of the pool was idle (the new case of TestPlacement fails without the bound). Change: 2 s near the data; 2 s for neighbours while half of the processors are idle.

--- a/pkg/sched/flow/place.go
+++ b/pkg/sched/flow/place.go
@@ -7,11 +7,9 @@
 	"github.com/mangoslip/mangoslip/pkg/sched"
 )
 
-const (
-	// fillShare is the part of its processors that a filling task must find
-	// unused on a worker. Where it finds less, it is better off waiting.
-	fillShare = 0.8
-)
+// fillShare is the part of its processors that a filling task must find unused
+// on a worker. Where it finds less, it is better off waiting.
+const fillShare = 0.8
 
 // choose returns the worker on which a task starts, or nil.
 func (m *Machine) choose(t *task, q sched.Queue) *worker {
@@ -53,7 +51,7 @@
 	if s.Affinity != "" && w.member.Rack() != s.Affinity {
 		// Away from its data the task takes longer by a known factor. Waiting
 		// is better until the time lost equals what the distance costs.
-		if waited < time.Duration((m.far-1)*float64(m.duration(t.step))) && m.rackServes(s.Affinity) {
+		if waited < m.farWait(t.step) && m.rackServes(s.Affinity) {
 			return 0, false
 		}
 		score -= farPenalty
@@ -74,10 +72,22 @@
 	return score, true
 }
 
+// farWait returns how long a task waits for room near its data, or a gang for
+// one rack, before it starts elsewhere.
+func (m *Machine) farWait(s *step) time.Duration {
+	return min(time.Duration((m.far-1)*float64(m.duration(s))), farPatience)
+}
+
 // reserved reports whether a task that lasts would take processors that are
 // kept for short ones. The reserve is the pool's and not each worker's, so that
 // tasks which belong together can fill a worker.
 func (m *Machine) reserved(need sched.MilliCPU) bool {
+	spare := m.spareNow()
+	return float64(spare.free-need) < m.reserve*float64(spare.all)
+}
+
+// spareNow returns the free room of all usable workers.
+func (m *Machine) spareNow() spareRoom {
 	if !m.spare.at.Equal(m.now) {
 		m.spare = spareRoom{at: m.now}
 		for _, w := range m.order {
@@ -87,7 +97,7 @@
 			}
 		}
 	}
-	return float64(m.spare.free-need) < m.reserve*float64(m.spare.all)
+	return m.spare
 }
 
 // spareRoom is the free room of all usable workers at a time.
@@ -121,8 +131,10 @@
 }
 
 const (
-	// farPenalty outweighs any difference in room.
-	farPenalty = 10
+	// farPenalty outweighs any difference in room, and farPatience bounds how
+	// long room elsewhere is left unused.
+	farPenalty  = 10
+	farPatience = 2 * time.Second
 	// memoryWeight is the weight of free memory beside free processors.
 	memoryWeight = 0.2
 	// reservePatience bounds how long the reserve keeps a lasting task waiting.
@@ -147,7 +159,8 @@
 	// riskPatience is how long a task that fills waits for a worker where it
 	// disturbs nobody. A disturbed task that serves loses more in two seconds
 	// than the other gains by its end.
-	riskPatience = 10 * time.Second
+	riskPatience     = 10 * time.Second
+	idleRiskPatience = 2 * time.Second
 	// fillRisk weighs the same the other way round, for each task that fills.
 	fillRisk = 0.5
 )
@@ -163,7 +176,7 @@
 	}
 	score -= scarceWeight * m.scarcity(w, s.Image)
 	risk := m.risk(w, s.Image)
-	if patient := m.now.Sub(t.queuedAt) < riskPatience; patient && (risk >= badPair || risk >= goodPair && w.caution < 1 && w.caution > 0) {
+	if patient := m.now.Sub(t.queuedAt) < m.riskWait(); patient && (risk >= badPair || risk >= goodPair && w.caution < 1 && w.caution > 0) {
 		return 0, false
 	}
 	if risk >= badPair {
@@ -197,6 +210,15 @@
 	share float64
 }
 
+// riskWait returns how long a task that fills waits for a worker where it
+// disturbs nobody: not for long while most processors are idle.
+func (m *Machine) riskWait() time.Duration {
+	if spare := m.spareNow(); 2*spare.free > spare.all {
+		return idleRiskPatience
+	}
+	return riskPatience
+}
+
 // scarcity returns how much rarer workers are for an image that a worker is
 // open to than for the given one: the difference of their hostilities.
 func (m *Machine) scarcity(w *worker, image string) float64 {
@@ -240,7 +262,7 @@
 				return chosen
 			}
 		}
-		if m.now.Sub(s.ready) < time.Duration((m.far-1)*float64(m.duration(s))) && m.gangFitsEmpty(s, q) {
+		if m.now.Sub(s.ready) < m.farWait(s) && m.gangFitsEmpty(s, q) {
 			return nil
 		}
 	}
--- a/pkg/sched/flow/place_test.go
+++ b/pkg/sched/flow/place_test.go
@@ -59,6 +59,15 @@
 			require.Equal(t, "r1", w.Member.Rack())
 		}
 	})
+	t.Run("AffinityWithoutRoom", func(t *testing.T) {
+		s := step
+		s.Affinity, s.Count, s.Estimate = "r1", 16, time.Minute
+		s.Resources.CPU = 30000
+		e, on := placed(t, s, nil)
+		require.Len(t, on, 8, "the others wait for the rack")
+		e.RunFor(2 * time.Second)
+		require.Equal(t, 16, e.Running(), "but not while room elsewhere is unused for long")
+	})
 	t.Run("AntiAffinity", func(t *testing.T) {
 		s := step
 		s.Count, s.AntiAffinity = 30, 1
--- a/pkg/sched/flow/schedule.go
+++ b/pkg/sched/flow/schedule.go
@@ -156,7 +156,7 @@
 // patience returns how many bounds on waiting a task has passed.
 func (m *Machine) patience(t *task) int {
 	n := 0
-	for _, bound := range []time.Duration{reservePatience, riskPatience} {
+	for _, bound := range []time.Duration{reservePatience, idleRiskPatience, riskPatience} {
 		if m.now.Sub(t.queuedAt) >= bound {
 			n++
 		}
