--- /dev/null
+++ b/pkg/sched/flow/property_test.go
@@ -0,0 +1,67 @@
+package flow_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/mangoslip/mangoslip/internal/emul"
+	"github.com/mangoslip/mangoslip/pkg/sched"
+)
+
+// TestMain fixes the seed of rapid, so that every run checks the same 1,000
+// sequences.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	settings := map[string]string{"rapid.checks": "1000", "rapid.nofailfile": "true"}
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		settings["rapid.seed"] = "20261204"
+	}
+	for name, value := range settings {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// smallDay returns a few workers with short jobs of every kind.
+func smallDay(seed uint64) *emul.Emulator {
+	e := emul.New(seed)
+	e.AddWorkers(5, sched.Resources{CPU: 16000, Memory: 64 * gib})
+	for _, c := range emul.Colocated(0.1) {
+		c.Took = min(c.Took, 500*time.Millisecond)
+		c.Width, c.Stay = 3, 2*time.Second
+		e.Load(c, 3*time.Second)
+	}
+	return e
+}
+
+// Guards against sequences of faults that nobody thought of. What workers and
+// callers saw is judged by the emulator's oracle; once the faults are over,
+// every job that can end has to end.
+func TestAnySequenceOfFaults(t *testing.T) {
+	all := faults()
+	rapid.Check(t, func(t *rapid.T) {
+		e := smallDay(rapid.Uint64Range(1, 1<<32).Draw(t, "seed"))
+		l := e.Lead()
+		for range rapid.IntRange(1, 4).Draw(t, "faults") {
+			f := rapid.SampledFrom(all).Draw(t, "fault")
+			at := rapid.IntRange(0, 4000).Draw(t, "at")
+			e.After(time.Duration(at)*time.Millisecond, func() { f.strike(e, l) })
+		}
+		e.RunFor(26 * time.Second)
+		if !e.Led() {
+			e.Lead()
+		}
+		if !e.RunUntil(settle, e.Settled) {
+			t.Fatalf("jobs are unfinished")
+		}
+		if err := e.Check(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
