Name what the emulator's oracle remembers

Cause: successes were marked by a negative index in a map of failures, and a comment named a function that does not exist. No product code changes.

--- a/internal/emul/emul.go
+++ b/internal/emul/emul.go
@@ -82,11 +82,12 @@
 	Runs int
 
 	version sched.Version
-	// done and failed hold the ends that a leader has confirmed; fails counts
-	// all that failed, confirmed or not.
-	done   map[sched.RunTask]bool
-	failed map[sched.RunTask]int
-	fails  map[sched.RunTask]int
+	// done and failed hold the ends that a leader has confirmed; succeeded and
+	// fails all ends, confirmed or not.
+	done      map[sched.RunTask]bool
+	failed    map[sched.RunTask]int
+	succeeded map[sched.RunTask]bool
+	fails     map[sched.RunTask]int
 }
 
 // New returns an emulator with a store and no workers.
@@ -186,6 +187,7 @@
 	j := &Job{
 		Spec: w, Work: work, Submitted: e.now, version: e.store.next(),
 		done: map[sched.RunTask]bool{}, failed: map[sched.RunTask]int{}, fails: map[sched.RunTask]int{},
+		succeeded: map[sched.RunTask]bool{},
 	}
 	e.jobs[w.ID] = j
 	e.order = append(e.order, j)
@@ -195,9 +197,6 @@
 	return j
 }
 
-// Expect tells the oracle of a job that is submitted elsewhere.
-func (e *Emulator) Expect(w *sched.Workflow, work Work) *Job { return e.Submit(w, work) }
-
 // Cancel stores the cancellation of a job.
 func (e *Emulator) Cancel(j *Job) {
 	j.Cancelled = e.now
--- a/internal/emul/oracle.go
+++ b/internal/emul/oracle.go
@@ -73,19 +73,9 @@
 // cancelBound is how long after a cancellation a start is permitted.
 const cancelBound = 3 * time.Second
 
-// doneOnce remembers successes whether or not they were confirmed.
+// succeeded reports whether a task has ended with success, confirmed or not.
 func (e *Emulator) succeeded(j *Job, t sched.RunTask) bool {
-	if j.done[t] {
-		return true
-	}
-	for _, w := range e.Workers {
-		for _, end := range w.ends {
-			if end.Run.Task == t && end.How == sched.EndDone {
-				return true
-			}
-		}
-	}
-	return j.failed[sched.RunTask{Job: t.Job, Occurrence: t.Occurrence, Step: t.Step, Index: -1 - t.Index}] > 0
+	return j.succeeded[t]
 }
 
 // ended notes the end of a run.
@@ -95,9 +85,7 @@
 		r.job.fails[r.ID.Task]++
 	}
 	if how == sched.EndDone {
-		t := r.ID.Task
-		// A negative index marks that the task has succeeded at least once.
-		r.job.failed[sched.RunTask{Job: t.Job, Occurrence: t.Occurrence, Step: t.Step, Index: -1 - t.Index}]++
+		r.job.succeeded[r.ID.Task] = true
 	}
 }
 
@@ -118,8 +106,8 @@
 	}
 }
 
-// note counts runs that ended without a report.
-func (e *Emulator) note(_ *Run, what string) { e.Counts["End."+what]++ }
+// lost counts a run that ended with its worker's life, without a report.
+func (e *Emulator) lost() { e.Counts["End.Lost"]++ }
 
 // judge checks a job that is shown ended.
 func (e *Emulator) judge(j *Job) {
--- a/internal/emul/worker.go
+++ b/internal/emul/worker.go
@@ -90,8 +90,8 @@
 // Crash ends the worker's life; it is back after a time, under its name.
 func (w *Worker) Crash(back time.Duration) {
 	w.up = false
-	for _, r := range w.runs {
-		w.e.note(r, "lost")
+	for range w.runs {
+		w.e.lost()
 	}
 	w.runs = map[sched.Run]*Run{}
 	w.e.After(back, func() {
--- a/internal/soak/client_test.go
+++ b/internal/soak/client_test.go
@@ -86,7 +86,7 @@
 	second.After = []int{0}
 	w := &sched.Workflow{ID: sched.JobID(o.id), Queue: stand.Queue, Steps: []sched.StepSpec{spec, second}}
 	c.s.With(func(e *emul.Emulator) {
-		o.job = e.Expect(w, emul.Work{Took: time.Duration(150+100*(n%6)) * time.Millisecond})
+		o.job = e.Submit(w, emul.Work{Took: time.Duration(150+100*(n%6)) * time.Millisecond})
 	})
 	body := fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,"cpu":1000,"mem-mb":256,"estimate-ms":400},
 	 {"count":%d,"cpu":1000,"mem-mb":256,"estimate-ms":400,"after":[0]}]}`, spec.Count, spec.Count)
@@ -116,7 +116,6 @@
 		c.mu.Lock()
 		o.cancelled = true
 		c.mu.Unlock()
-		c.s.With(func(*emul.Emulator) { o.job.Cancelled = time.Time{} })
 	}
 }
 
