Let timeouts of orders follow the delay of answers

Leases of sound workers lapsed in calm, and tasks that were done before the lapse were started again.

Ruled out: a deadline that is too far ahead, a lapse that is noticed too early (the workers' clocks were past the deadline by 0.6 s and more), and ends that are confirmed before they are applied.

Timeouts now follow a moving average of the delay and its spread, as retransmission timeouts do, double where nobody answers, and stay at 300 and 400 ms where answers are quick. TestAnswersAreSlow fails with fixed timeouts.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -60,7 +60,8 @@
 	// outageGrace is how long an entry that lost the store leaves the leader's
 	// key to the one that held it.
 	outageGrace = 600 * time.Millisecond
-	// orderTimeout bounds an order; a hold takes its wait in addition.
+	// orderTimeout bounds an order as long as answers are quick; a hold takes
+	// its wait in addition.
 	orderTimeout = 300 * time.Millisecond
 	holdTimeout  = 400 * time.Millisecond
 	// ordersAtOnce bounds the orders in progress that are sent directly, and
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"strings"
 	"sync"
@@ -25,13 +26,27 @@
 	seq   uint64
 	runs  map[sched.Run]time.Time
 	ends  []sched.RunEnd
-	// starts counts the starts of each task.
+	// starts counts the starts of each task, and seen holds what was started:
+	// an order that is repeated starts nothing.
 	starts map[sched.RunTask]int
+	seen   map[sched.Run]bool
 	fenced int
+	// delay is how long every answer is on its way.
+	delay time.Duration
 }
 
 func newWorkers(took time.Duration) *workers {
-	return &workers{took: took, runs: map[sched.Run]time.Time{}, starts: map[sched.RunTask]int{}}
+	return &workers{took: took, runs: map[sched.Run]time.Time{}, starts: map[sched.RunTask]int{}, seen: map[sched.Run]bool{}}
+}
+
+// travel lasts as long as an answer is on its way.
+func (w *workers) travel(ctx context.Context) error {
+	select {
+	case <-time.After(w.delay):
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", sched.ErrLost, ctx.Err())
+	}
 }
 
 // settle ends the runs whose time is up.
@@ -59,30 +74,44 @@
 	return sched.OrderReply{Refusal: refusal, Clock: time.Second, HasClock: true}
 }
 
-func (w *workers) Start(_ context.Context, _ sched.Member, o sched.StartOrder) (sched.OrderReply, error) {
+func (w *workers) Start(ctx context.Context, _ sched.Member, o sched.StartOrder) (sched.OrderReply, error) {
+	reply := w.start(o)
+	return reply, w.travel(ctx)
+}
+
+func (w *workers) start(o sched.StartOrder) sched.OrderReply {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.settle()
 	if w.refuses(o.Fence) {
-		return w.reply(sched.OrderFenced), nil
+		return w.reply(sched.OrderFenced)
+	}
+	if w.seen[o.Run] {
+		return w.reply(sched.OrderAccepted)
 	}
+	w.seen[o.Run] = true
 	w.starts[o.Run.Task]++
 	w.runs[o.Run] = time.Now()
-	return w.reply(sched.OrderAccepted), nil
+	return w.reply(sched.OrderAccepted)
+}
+
+func (w *workers) Stop(ctx context.Context, _ sched.Member, o sched.StopOrder) (sched.OrderReply, error) {
+	reply := w.stop(o)
+	return reply, w.travel(ctx)
 }
 
-func (w *workers) Stop(_ context.Context, _ sched.Member, o sched.StopOrder) (sched.OrderReply, error) {
+func (w *workers) stop(o sched.StopOrder) sched.OrderReply {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.refuses(o.Fence) {
-		return w.reply(sched.OrderFenced), nil
+		return w.reply(sched.OrderFenced)
 	}
 	if _, ok := w.runs[o.Run]; ok {
 		delete(w.runs, o.Run)
 		w.seq++
 		w.ends = append(w.ends, sched.RunEnd{Seq: w.seq, Run: o.Run, How: sched.EndStopped})
 	}
-	return w.reply(sched.OrderAccepted), nil
+	return w.reply(sched.OrderAccepted)
 }
 
 func (w *workers) Pace(context.Context, sched.Member, sched.PaceOrder) (sched.OrderReply, error) {
@@ -108,12 +137,12 @@
 				rep.Running = append(rep.Running, sched.RunReport{Run: r, Percent: percent})
 			}
 			w.mu.Unlock()
-			return rep, nil
+			return rep, w.travel(ctx)
 		}
 		w.mu.Unlock()
 		select {
 		case <-ctx.Done():
-			return sched.HoldReport{}, sched.ErrLost
+			return sched.HoldReport{}, fmt.Errorf("%w: %w", sched.ErrLost, ctx.Err())
 		case <-time.After(20 * time.Millisecond):
 		}
 	}
@@ -358,3 +387,18 @@
 		s.requireDone("1", 5*time.Second)
 	})
 }
+
+// Guards against a leader that gives up every order because answers take longer
+// than a fixed timeout, as they do where it is short of processor time: it
+// repeated orders until the leases of sound workers lapsed, and started tasks
+// again that were done.
+func TestAnswersAreSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 1, time.Second)
+		defer s.stopAll()
+		s.workers.delay = 700 * time.Millisecond
+		time.Sleep(5 * time.Second)
+		s.submit("1")
+		s.requireDone("1", 15*time.Second)
+	})
+}
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -26,6 +26,8 @@
 	orders sched.Orders
 	// slots bounds the orders in progress, holds aside.
 	slots chan struct{}
+	// patience sets the timeouts of the orders.
+	patience patience
 
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -208,10 +210,11 @@
 }
 
 func (t *term) start(cmd flow.StartCmd) {
-	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
-	defer cancel()
-	sent := time.Now()
-	reply, err := t.orders.Start(ctx, cmd.Member, cmd.Order)
+	var reply sched.OrderReply
+	sent, err := t.call(orderTimeout, 0, func(ctx context.Context) (err error) {
+		reply, err = t.orders.Start(ctx, cmd.Member, cmd.Order)
+		return err
+	})
 	t.l.stats.Observe("StartSeconds", time.Since(sent))
 	t.post(flow.StartResultMsg{
 		Result: flow.Result{Worker: cmd.Member.Worker, Sent: sent, Err: err}, Run: cmd.Order.Run, Reply: reply,
@@ -219,20 +222,22 @@
 }
 
 func (t *term) stop(cmd flow.StopCmd) {
-	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
-	defer cancel()
-	sent := time.Now()
-	reply, err := t.orders.Stop(ctx, cmd.Member, cmd.Order)
+	var reply sched.OrderReply
+	sent, err := t.call(orderTimeout, 0, func(ctx context.Context) (err error) {
+		reply, err = t.orders.Stop(ctx, cmd.Member, cmd.Order)
+		return err
+	})
 	t.post(flow.StopResultMsg{
 		Result: flow.Result{Worker: cmd.Member.Worker, Sent: sent, Err: err}, Run: cmd.Order.Run, Reply: reply,
 	})
 }
 
 func (t *term) pace(cmd flow.PaceCmd) {
-	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
-	defer cancel()
-	sent := time.Now()
-	reply, err := t.orders.Pace(ctx, cmd.Member, cmd.Order)
+	var reply sched.OrderReply
+	sent, err := t.call(orderTimeout, 0, func(ctx context.Context) (err error) {
+		reply, err = t.orders.Pace(ctx, cmd.Member, cmd.Order)
+		return err
+	})
 	t.post(flow.PaceResultMsg{
 		Result: flow.Result{Worker: cmd.Member.Worker, Sent: sent, Err: err}, Run: cmd.Order.Run,
 		Percent: cmd.Order.Percent, Reply: reply,
@@ -240,15 +245,37 @@
 }
 
 func (t *term) hold(cmd flow.HoldCmd) {
-	ctx, cancel := context.WithTimeout(t.ctx, holdTimeout+cmd.Order.Wait)
-	defer cancel()
-	sent := time.Now()
-	report, err := t.orders.Hold(ctx, cmd.Member, cmd.Order)
+	var report sched.HoldReport
+	sent, err := t.call(holdTimeout, cmd.Order.Wait, func(ctx context.Context) (err error) {
+		report, err = t.orders.Hold(ctx, cmd.Member, cmd.Order)
+		return err
+	})
 	t.post(flow.HoldResultMsg{
 		Result: flow.Result{Worker: cmd.Member.Worker, Sent: sent, Err: err}, Seq: cmd.Seq, Report: report,
 	})
 }
 
+// call sends an order that takes least when all is well, and wait in addition.
+// It returns when the order was sent.
+func (t *term) call(least, wait time.Duration, send func(context.Context) error) (time.Time, error) {
+	timeout := t.patience.timeout(least)
+	ctx, cancel := context.WithTimeout(t.ctx, timeout+wait)
+	defer cancel()
+	sent := time.Now()
+	err := send(ctx)
+	took := time.Since(sent)
+	switch {
+	case err == nil && wait == 0:
+		t.patience.answered(took)
+	case err == nil:
+		t.patience.heard()
+	case errors.Is(err, context.DeadlineExceeded):
+		t.l.stats.Count("OrdersUnanswered", 1)
+		t.patience.missed(timeout, max(took-timeout-wait, 0))
+	}
+	return sent, err
+}
+
 // commit writes records under the condition that the term is unchanged.
 func (t *term) commit(cmd flow.CommitCmd) {
 	txn := sched.Txn{Conditions: []sched.Condition{{Key: layout.TermKey, Version: t.version}}}
