--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -41,8 +41,11 @@
 
 // travel lasts as long as an answer is on its way.
 func (w *workers) travel(ctx context.Context) error {
+	w.mu.Lock()
+	delay := w.delay
+	w.mu.Unlock()
 	select {
-	case <-time.After(w.delay):
+	case <-time.After(delay):
 		return nil
 	case <-ctx.Done():
 		return fmt.Errorf("%w: %w", sched.ErrLost, ctx.Err())
@@ -256,6 +259,8 @@
 	s.t.Helper()
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		if s.state(id) == sched.JobCompleted {
+			s.workers.mu.Lock()
+			defer s.workers.mu.Unlock()
 			for t, n := range s.workers.starts {
 				require.Equal(s.t, 1, n, "starts of %v", t)
 			}
@@ -396,7 +401,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 1, time.Second)
 		defer s.stopAll()
+		s.workers.mu.Lock()
 		s.workers.delay = 700 * time.Millisecond
+		s.workers.mu.Unlock()
 		time.Sleep(5 * time.Second)
 		s.submit("1")
 		s.requireDone("1", 15*time.Second)
