--- a/pkg/sched/tasks/cluster_test.go
+++ b/pkg/sched/tasks/cluster_test.go
@@ -127,9 +127,16 @@
 }
 
 // snapshot replaces the journal by a snapshot and the records that the snapshot
-// does not cover.
+// does not cover. It requires that an owner restored from the snapshot would
+// write the same one, so that nothing is lost by writing snapshots repeatedly.
 func (cl *cluster) snapshot() {
-	cl.journal = append(cl.m.Snapshot(), cl.unconfirmed...)
+	written := cl.m.Snapshot()
+	restored := tasks.New(shard, cl, place.NewPack(), cl.opts...)
+	for _, r := range written {
+		require.NoError(cl.t, restored.Restore(r))
+	}
+	require.Equal(cl.t, written, restored.Snapshot())
+	cl.journal = append(written, cl.unconfirmed...)
 }
 
 func (cl *cluster) list() []sched.Instance {
--- a/pkg/sched/tasks/failure_test.go
+++ b/pkg/sched/tasks/failure_test.go
@@ -252,6 +252,22 @@
 		cl.runFor(8)
 		requireResumed(cl)
 	})
+	t.Run("a snapshot by an owner that saw no progress keeps the checkpoint", func(t *testing.T) {
+		cl := newCluster(t, 3)
+		cl.submit("a", 1, 60, 1000)
+		cl.runFor(1)
+		cl.send(tasks.EvictMsg{Worker: runningWorker(cl).name, Why: "noisy"})
+		cl.runFor(2)
+		require.Len(t, cl.starts, 2)
+		cl.takeover(true)
+		cl.runFor(2)
+		cl.snapshot()
+		cl.takeover(true)
+		runningWorker(cl).unreachable = true
+		cl.runFor(20)
+		require.Len(t, cl.starts, 3)
+		require.Equal(t, cl.starts[1].Start.Checkpoint, cl.starts[2].Start.Checkpoint)
+	})
 	t.Run("no task starts on a worker that leaves", func(t *testing.T) {
 		cl := newCluster(t, 1)
 		list := cl.list()
--- a/pkg/sched/tasks/host.go
+++ b/pkg/sched/tasks/host.go
@@ -66,7 +66,8 @@
 	// failedOn lists the worker of each failed attempt.
 	failedOn []sched.WorkerName
 	lastErr  string
-	// lastProgress is the newest progress record that this owner has journaled.
+	// lastProgress is the newest progress record in the journal, of this owner or
+	// an earlier one.
 	lastProgress *progressRecord
 	// end is the final state, if it is decided.
 	end *endRecord
--- a/pkg/sched/tasks/record.go
+++ b/pkg/sched/tasks/record.go
@@ -141,6 +141,7 @@
 	t.attempt, t.endedAttempt = max(t.attempt, r.Attempt), r.Attempt
 	t.attempts = max(t.attempts, r.Count)
 	t.checkpoint, t.failedOn, t.lastErr = r.Checkpoint, r.Failed, r.Error
+	t.lastProgress = r
 }
 
 func (m *Machine) restoreEnd(r *endRecord) {
