Hold slots of given-up requests until a worker has shown that it is not frozen

Cause: one inventory that was requested after a request had been given up ended the hold of its slot. The hold also ended with the service's timeout although the worker was still frozen. Ruled out: a larger margin on the give-up time; a freeze has no bound. Change: each hold is tracked by itself. It ends with an inventory requested 250 ms after the worker answered an earlier one, or once the worker has answered regularly for longer than a request may run. Workers with held or inherited slots outlive their listing. The model test gives requests up, freezes workers and starts requests late. The test 'until an inventory shows it free' asserted the fault; it is replaced by one that needs a second inventory. 'until its timeout has passed' asserted that a silent worker gets its slots back; it is replaced by 'until the worker has answered for longer than its timeout' and 'while the worker is silent'.

--- a/pkg/sched/pool/commands.go
+++ b/pkg/sched/pool/commands.go
@@ -186,7 +186,7 @@
 	m.removeRequest(now, msg.ID)
 	t.busy--
 	if msg.Outcome == sched.Unknown {
-		t.holdUnconfirmed(now)
+		t.hold(now)
 	}
 	s.queue.Done(now, r.long)
 	// Samples of long requests would hide a change in the latency of the short
--- a/pkg/sched/pool/config.go
+++ b/pkg/sched/pool/config.go
@@ -172,10 +172,7 @@
 		to := m.ensureTarget(now, w, successor)
 		to.busy += from.busy
 		to.inherited += from.inherited
-		if from.unconfirmed > 0 {
-			to.unconfirmed += from.unconfirmed
-			to.unconfirmedSince, to.unconfirmedUntil = later(to.unconfirmedSince, from.unconfirmedSince), later(to.unconfirmedUntil, from.unconfirmedUntil)
-		}
+		to.holds = append(to.holds, from.holds...)
 		m.setSlots(from, 0)
 		w.targets = slices.DeleteFunc(w.targets, func(t *target) bool { return t == from })
 	}
--- a/pkg/sched/pool/model_test.go
+++ b/pkg/sched/pool/model_test.go
@@ -3,7 +3,9 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,6 +25,16 @@
 	os.Exit(m.Run())
 }
 
+// givenUp is a request that its entry gave up with an unknown outcome. It waits in
+// the sockets of its worker until it starts.
+type givenUp struct {
+	service sched.ServiceName
+	running bool
+	// until is when the request starts or disappears at the latest, or when it
+	// ends at the latest. It does not apply while the worker is frozen.
+	until time.Time
+}
+
 // load is what actually runs on a worker, no matter which owner granted it.
 type load struct {
 	quote, rates int
@@ -35,6 +47,7 @@
 func TestModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		o := &oracle{fixture: newFixture(3), ownGrants: map[uint64]sched.WorkerName{}, service: map[uint64]sched.ServiceName{},
+			lost: map[sched.WorkerName][]*givenUp{}, frozen: map[sched.WorkerName]time.Time{},
 			inherited: map[sched.WorkerName]*load{}, tasks: map[sched.WorkerName][]sched.Resources{}, epoch: 1}
 		for _, w := range o.list {
 			o.inherited[sched.WorkerName(w.Name)] = &load{}
@@ -45,6 +58,9 @@
 			"takeover":  o.takeover,
 			"inventory": o.inventoryAny,
 			"finish":    o.finishInherited,
+			"giveup":    o.giveUpAny,
+			"freeze":    o.freezeAny,
+			"startlate": o.startLate,
 			"leave":     o.leave,
 			"drop":      o.drop,
 			"reserve":   o.reserve,
@@ -66,7 +82,11 @@
 	service   map[uint64]sched.ServiceName
 	// inherited is the load that earlier owners left, and inheritedEnd when
 	// their requests have ended.
-	inherited    map[sched.WorkerName]*load
+	inherited map[sched.WorkerName]*load
+	// lost holds the requests that were given up and may still start or run.
+	lost map[sched.WorkerName][]*givenUp
+	// frozen holds since when workers start no request and answer no inventory.
+	frozen       map[sched.WorkerName]time.Time
 	tasks        map[sched.WorkerName][]sched.Resources
 	epoch        sched.Epoch
 	inheritedEnd time.Time
@@ -96,12 +116,13 @@
 }
 
 // takeover lets another owner occupy some idle slots, within the limits, before
-// this entry owns the shard again.
+// this entry owns the shard again. That owner does not know of requests that this
+// entry gave up, so it gets no slots beside them.
 func (o *oracle) takeover(t *rapid.T) {
 	o.update(pool.LostMsg{})
 	for name, l := range o.inherited {
 		got := o.count(name)
-		if got.quote == 0 && got.tasks.CPU == 0 {
+		if got.quote == 0 && got.tasks.CPU == 0 && len(o.lost[name]) == 0 {
 			l.quote = rapid.IntRange(0, 2).Draw(t, "theirs")
 		}
 	}
@@ -112,13 +133,79 @@
 
 func (o *oracle) inventoryAny(t *rapid.T) {
 	w := rapid.SampledFrom(o.list).Draw(t, "worker")
+	if o.isFrozen(sched.WorkerName(w.Name)) {
+		return
+	}
 	got := o.count(sched.WorkerName(w.Name))
 	epoch := o.epoch - sched.Epoch(rapid.IntRange(0, 1).Draw(t, "stale"))
 	busy := map[sched.ServiceName]int{"Quote": got.quote, "Rates": got.rates}
 	if epoch != o.epoch {
 		busy = nil
 	}
-	o.update(pool.InventoryMsg{Worker: sched.WorkerName(w.Name), Epoch: epoch, Inventory: sched.Inventory{BusySlots: busy}})
+	o.update(pool.InventoryMsg{
+		Worker: sched.WorkerName(w.Name), Epoch: epoch, AskedAt: o.now, Inventory: sched.Inventory{BusySlots: busy},
+	})
+}
+
+// giveUpAny gives up a granted request that its worker has not started, or that
+// runs on although nobody waits for its answer.
+func (o *oracle) giveUpAny(t *rapid.T) {
+	ids := slices.Sorted(maps.Keys(o.ownGrants))
+	if len(ids) == 0 {
+		return
+	}
+	id := rapid.SampledFrom(ids).Draw(t, "id")
+	w := o.ownGrants[id]
+	r := &givenUp{service: o.service[id], until: o.now.Add(startMargin)}
+	if !o.isFrozen(w) && rapid.Bool().Draw(t, "running") {
+		r.running, r.until = true, o.now.Add(o.cfg.Services[0].Timeout)
+	}
+	o.lost[w] = append(o.lost[w], r)
+	delete(o.ownGrants, id)
+	o.update(pool.ReleaseMsg{ID: id, Outcome: sched.Unknown, Reason: sched.ReasonTargetTimeout})
+}
+
+// startMargin is how long a request waits in the sockets of a worker that is not
+// frozen.
+const startMargin = 200 * time.Millisecond
+
+// freezeAny freezes a worker for longer than the time between two inventories, or
+// lets it continue.
+func (o *oracle) freezeAny(t *rapid.T) {
+	w := sched.WorkerName(rapid.SampledFrom(o.list).Draw(t, "worker").Name)
+	since, frozen := o.frozen[w]
+	switch {
+	case !frozen:
+		o.frozen[w] = o.now
+	case o.now.Sub(since) > time.Second:
+		delete(o.frozen, w)
+		for _, r := range o.lost[w] {
+			r.until = r.until.Add(o.now.Sub(since))
+		}
+	}
+}
+
+func (o *oracle) isFrozen(w sched.WorkerName) bool {
+	_, ok := o.frozen[w]
+	return ok
+}
+
+// startLate lets a worker start a request from its sockets.
+func (o *oracle) startLate(t *rapid.T) {
+	w := sched.WorkerName(rapid.SampledFrom(o.list).Draw(t, "worker").Name)
+	for _, r := range o.lost[w] {
+		if !o.isFrozen(w) && !r.running {
+			r.running, r.until = true, o.now.Add(o.cfg.Services[0].Timeout)
+			return
+		}
+	}
+}
+
+// endLost removes the requests that were given up and are over.
+func (o *oracle) endLost() {
+	for w := range o.lost {
+		o.lost[w] = slices.DeleteFunc(o.lost[w], func(r *givenUp) bool { return !o.isFrozen(w) && !o.now.Before(r.until) })
+	}
 }
 
 func (o *oracle) finishInherited(t *rapid.T) {
@@ -165,6 +252,7 @@
 func (o *oracle) advanceAny(t *rapid.T) {
 	d := rapid.SampledFrom([]time.Duration{time.Millisecond, 600 * time.Millisecond, 2 * time.Second, 12 * time.Second}).Draw(t, "pass")
 	o.now = o.now.Add(d)
+	o.endLost()
 	if !o.now.Before(o.inheritedEnd) {
 		for _, l := range o.inherited {
 			l.quote = 0
@@ -185,6 +273,15 @@
 			l.rates++
 		}
 	}
+	for _, r := range o.lost[w] {
+		switch {
+		case !r.running:
+		case r.service == "Quote":
+			l.quote++
+		default:
+			l.rates++
+		}
+	}
 	for _, r := range o.tasks[w] {
 		l.tasks = l.tasks.Add(r)
 	}
--- a/pkg/sched/pool/pool_test.go
+++ b/pkg/sched/pool/pool_test.go
@@ -272,7 +272,8 @@
 }
 
 // Guards against granting a slot again while its target may still run a request
-// that was given up.
+// that was given up: the request may wait in the sockets of a frozen worker and
+// start when the worker continues.
 func TestUnknownOutcomeHoldsItsSlot(t *testing.T) {
 	giveUp := func(t *testing.T) *fixture {
 		t.Helper()
@@ -287,23 +288,106 @@
 		require.Empty(t, f.granted)
 		return f
 	}
-	t.Run("until an inventory shows it free", func(t *testing.T) {
+	inventory := func(f *fixture, busy int) {
+		f.send(pool.InventoryMsg{Worker: "w0", Epoch: 1, AskedAt: f.now, Inventory: sched.Inventory{
+			BusySlots: map[sched.ServiceName]int{"Quote": busy},
+		}})
+	}
+	t.Run("the first inventory only shows that the worker is not frozen", func(t *testing.T) {
+		f := giveUp(t)
+		inventory(f, 0)
+		inventory(f, 0)
+		require.Empty(t, f.granted)
+	})
+	t.Run("until a later inventory shows it free", func(t *testing.T) {
 		f := giveUp(t)
-		f.send(pool.InventoryMsg{Worker: "w0", Epoch: 1, AskedAt: f.now, Inventory: sched.Inventory{}})
+		inventory(f, 0)
+		f.advance(300 * time.Millisecond)
+		require.Empty(t, f.granted)
+		inventory(f, 0)
 		require.Len(t, f.granted, 2)
 	})
 	t.Run("an inventory from before shows nothing", func(t *testing.T) {
 		f := giveUp(t)
-		f.send(pool.InventoryMsg{Worker: "w0", Epoch: 1, AskedAt: start.Add(-time.Second), Inventory: sched.Inventory{}})
+		for range 2 {
+			f.send(pool.InventoryMsg{Worker: "w0", Epoch: 1, AskedAt: start.Add(-time.Second), Inventory: sched.Inventory{}})
+			f.advance(300 * time.Millisecond)
+		}
 		require.Empty(t, f.granted)
 	})
-	t.Run("until its timeout has passed", func(t *testing.T) {
+	t.Run("an inventory does not free the slot of a later request", func(t *testing.T) {
+		f := newFixture(1)
+		requireGrants(t, f, "Quote", 2)
+		f.release(1, sched.Unknown, sched.ReasonTargetTimeout)
+		inventory(f, 0)
+		f.advance(300 * time.Millisecond)
+		f.release(2, sched.Unknown, sched.ReasonTargetTimeout)
+		inventory(f, 0)
+		require.Len(t, f.granted, 1)
+		// The busy slot is that of the later request or of the new grant.
+		f.advance(300 * time.Millisecond)
+		inventory(f, 1)
+		require.Len(t, f.granted, 1)
+	})
+	t.Run("until the worker has answered for longer than its timeout", func(t *testing.T) {
 		f := giveUp(t)
-		f.advance(time.Second)
-		requireGrants(t, f, "Quote", 0)
-		f.advance(200 * time.Millisecond)
+		for range 4 {
+			inventory(f, 2)
+			f.advance(500 * time.Millisecond)
+			requireGrants(t, f, "Quote", 0)
+		}
+		inventory(f, 2)
+		f.advance(100 * time.Millisecond)
+		require.Len(t, f.granted, 2)
+	})
+	t.Run("although its timeout has passed, if the worker was frozen meanwhile", func(t *testing.T) {
+		f := giveUp(t)
+		for range 10 {
+			inventory(f, 2)
+			f.advance(1100 * time.Millisecond)
+			requireGrants(t, f, "Quote", 0)
+		}
+	})
+	t.Run("while the worker is silent", func(t *testing.T) {
+		f := giveUp(t)
+		for range 20 {
+			f.advance(time.Second)
+			requireGrants(t, f, "Quote", 0)
+		}
+	})
+	t.Run("although the worker was not listed meanwhile", func(t *testing.T) {
+		f := giveUp(t)
+		f.send(pool.WorkersMsg{})
+		f.advance(100 * time.Millisecond)
+		f.send(pool.WorkersMsg{Workers: f.list})
+		inventory(f, 0)
+		require.Empty(t, f.granted)
+		f.advance(300 * time.Millisecond)
+		inventory(f, 0)
 		require.Len(t, f.granted, 2)
 	})
+	t.Run("not for ever if the worker does not return", func(t *testing.T) {
+		f := giveUp(t)
+		f.send(pool.WorkersMsg{})
+		require.Len(t, f.Snapshot().Workers, 1)
+		f.advance(time.Hour)
+		require.Empty(t, f.Snapshot().Workers)
+	})
+}
+
+// Guards against granting the slots of an earlier owner's requests, which an
+// inventory showed, after the worker left the list and returned.
+func TestInheritedSlotsOutliveTheListing(t *testing.T) {
+	f := newFixture(1)
+	f.send(pool.AcquiredMsg{Epoch: 2})
+	f.inventory("w0", map[sched.ServiceName]int{"Quote": 2})
+	f.send(pool.WorkersMsg{})
+	require.Len(t, f.Snapshot().Workers, 1)
+	f.send(pool.WorkersMsg{Workers: f.list})
+	requireGrants(t, f, "Quote", 0)
+	f.send(pool.WorkersMsg{})
+	f.advance(2 * time.Second)
+	require.Empty(t, f.Snapshot().Workers)
 }
 
 // Guards against grants by an entry that does not own the shard.
--- a/pkg/sched/pool/takeover.go
+++ b/pkg/sched/pool/takeover.go
@@ -62,6 +62,7 @@
 	if m.epoch == 0 || m.cfg == nil {
 		return
 	}
+	var unlisted []*worker
 	for _, w := range m.sortedWorkers {
 		changed := false
 		if !w.loadKnown && !now.Before(m.earlierLoadEnd()) {
@@ -73,14 +74,19 @@
 				t.inherited = 0
 				changed = true
 			}
-			if t.unconfirmed > 0 && !now.Before(t.unconfirmedUntil) {
-				t.unconfirmed = 0
+			if t.endHolds(now) {
 				changed = true
 			}
 		}
 		if changed {
 			m.refresh(w)
 		}
+		if changed && !w.listed {
+			unlisted = append(unlisted, w)
+		}
+	}
+	for _, w := range unlisted {
+		m.removeIfUnused(w)
 	}
 }
 
@@ -111,9 +117,7 @@
 
 // inventory counts the busy slots of a worker as load of earlier epochs. A
 // later inventory of the same epoch can only lower the count: it also shows
-// grants of this machine, and does not tell them apart. An inventory that was
-// requested after a request was given up also shows whether the slot of that
-// request is free.
+// grants of this machine, and does not tell them apart.
 func (m *Machine) inventory(now time.Time, msg InventoryMsg) {
 	w := m.workers[msg.Worker]
 	if w == nil || msg.Epoch != m.epoch || m.epoch == 0 {
@@ -129,9 +133,7 @@
 		if !w.loadKnown || n < t.inherited {
 			t.inherited = n
 		}
-		if n < t.unconfirmed && !msg.AskedAt.Before(t.unconfirmedSince) {
-			t.unconfirmed = n
-		}
+		t.applyInventory(now, msg.AskedAt, n)
 	}
 	w.loadKnown = true
 	m.refresh(w)
@@ -140,23 +142,6 @@
 	}
 }
 
-// holdUnconfirmed keeps the slot of a request with an unknown outcome occupied.
-// The target may still run the request, so granting the slot again could exceed
-// the worker's limits.
-func (t *target) holdUnconfirmed(now time.Time) {
-	t.unconfirmed++
-	t.unconfirmedSince = now
-	t.unconfirmedUntil = later(t.unconfirmedUntil, now.Add(t.service.Timeout+transitMargin))
-}
-
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 // busy returns the number of slots that an inventory shows as busy for a
 // service, under its current and former names.
 func (m *Machine) busy(inv sched.Inventory, s *service) int {
--- a/pkg/sched/pool/worker.go
+++ b/pkg/sched/pool/worker.go
@@ -29,16 +29,13 @@
 type target struct {
 	worker  *worker
 	service *service
-	// busy counts the grants of this machine, inherited the slots that an
-	// inventory showed as busy with requests of earlier epochs, and unconfirmed
-	// the slots of requests that ended with an unknown outcome.
-	busy        int
-	inherited   int
-	unconfirmed int
-	// unconfirmedSince is when the latest request with an unknown outcome was
-	// given up, and unconfirmedUntil when no such request can run any more.
-	unconfirmedSince time.Time
-	unconfirmedUntil time.Time
+	// busy counts the grants of this machine, and inherited the slots that an
+	// inventory showed as busy with requests of earlier epochs. holds has an
+	// element for each slot of a request that ended with an unknown outcome, the
+	// oldest first.
+	busy      int
+	inherited int
+	holds     []hold
 	// load is the router's view of the target. While the target has a free
 	// slot, service.loads holds a copy at index pos; otherwise pos is -1.
 	load sched.TargetLoad
@@ -80,12 +77,12 @@
 
 // untracked returns the number of slots that may be busy with requests that the
 // machine does not track.
-func (t *target) untracked() int { return t.inherited + t.unconfirmed }
+func (t *target) untracked() int { return t.inherited + len(t.holds) }
 
-// idle reports whether no grant and no task uses the worker.
+// idle reports whether no request and no task may run on the worker.
 func (w *worker) idle() bool {
 	for _, t := range w.targets {
-		if t.busy > 0 {
+		if t.busy > 0 || t.untracked() > 0 {
 			return false
 		}
 	}
