Repeat emulator runs exactly with one seed

The difference of two images was a sum of floating-point numbers in the order of a map as well. Change: both use a fixed order. Result: TestSameSeedSameEvents plays one seed with faults 20 times and compares all events; it fails before (event 1030 differs) and passes after.

--- a/internal/emul/worker.go
+++ b/internal/emul/worker.go
@@ -203,8 +203,10 @@
 func (w *Worker) advance() {
 	now := w.e.now
 	if len(w.runs) > 0 && w.clock() > w.lease {
-		for _, r := range w.runs {
-			w.endRun(r, sched.EndLeaseExpired)
+		for _, r := range w.sortedRuns() {
+			if w.runs[r.ID] == r {
+				w.endRun(r, sched.EndLeaseExpired)
+			}
 		}
 	}
 	for _, r := range w.runs {
--- a/pkg/sched/flow/interference.go
+++ b/pkg/sched/flow/interference.go
@@ -135,15 +135,15 @@
 }
 
 // computeDifference returns the mean difference of the estimates that both
-// images have.
+// images have. It adds them in a fixed order, because the sum of floating-point
+// numbers depends on the order.
 func (d *interference) computeDifference(a, b string) float64 {
 	sum, n := 0.0, 0
-	for k := range d.logOdds {
-		if k.critical != a {
-			continue
-		}
-		if _, ok := d.logOdds[imagePair{b, k.bestEffort}]; ok {
-			sum += math.Abs(d.estimate(a, k.bestEffort) - d.estimate(b, k.bestEffort))
+	for _, bestEffort := range d.bestEffortImages() {
+		ea, knownA := d.estimates[imagePair{a, bestEffort}]
+		eb, knownB := d.estimates[imagePair{b, bestEffort}]
+		if knownA && knownB {
+			sum += math.Abs(ea - eb)
 			n++
 		}
 	}
