Do not count callers that disconnect as failures of a worker

Cause: a request whose caller or forwarding entry had gone ended with the reason TargetTimeout or TargetBroken, like one that the worker failed. Five of them in a row take a worker out of use, and it then offers one slot until a request succeeds there. Change: such an end still holds the slot, but blames nobody. The process tests log how entries see the workers if slots are not served in time. Result: two of three cases of TestDisconnectedCallerIsNoFailureOfTheWorker fail before and pass after.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -99,6 +99,7 @@
 	if !s.serving() {
 		return call.Refused(sched.ReasonNotOwner), pool.ReleaseMsg{Outcome: sched.NotRun, Reason: sched.ReasonNotOwner}
 	}
+	caller := ctx
 	ctx, cancel := context.WithTimeout(ctx, svc.Timeout)
 	defer cancel()
 	resp, err := e.Targets.Do(ctx, g.Addr, agent.Request{
@@ -107,13 +108,13 @@
 	if err != nil {
 		reason := targetReason(ctx, err)
 		e.log.Debug("attempt failed", "id", c.RequestID, "worker", g.Worker, "reason", reason, "err", err)
-		return call.Refused(reason), pool.ReleaseMsg{Outcome: reason.Outcome(), Reason: reason}
+		return call.Refused(reason), pool.ReleaseMsg{Outcome: reason.Outcome(), Reason: blame(caller, err, reason)}
 	}
 	defer resp.Body.Close()
 	if err := copyAnswer(resp, sink); err != nil {
 		reason := targetReason(ctx, errors.Join(sched.ErrLost, err))
 		return call.Result{Outcome: sched.Unknown, Reason: reason, Started: true},
-			pool.ReleaseMsg{Outcome: sched.Unknown, Reason: reason}
+			pool.ReleaseMsg{Outcome: sched.Unknown, Reason: blame(caller, err, reason)}
 	}
 	release := pool.ReleaseMsg{Outcome: sched.Ran}
 	if resp.Status >= http.StatusInternalServerError {
@@ -142,11 +143,24 @@
 	}
 }
 
+// errDisconnected means that the receiver of an answer has disconnected.
+var errDisconnected = errors.New("receiver of the answer has disconnected")
+
+// blame returns the reason of a failed exchange if the worker may be the cause,
+// and an empty reason if the caller has disconnected. Otherwise callers that
+// leave together would take healthy workers out of use.
+func blame(caller context.Context, err error, reason sched.Reason) sched.Reason {
+	if errors.Is(err, errDisconnected) || errors.Is(context.Cause(caller), context.Canceled) {
+		return ""
+	}
+	return reason
+}
+
 // copyAnswer copies an answer to the sink. An error means that the answer is
 // incomplete.
 func copyAnswer(resp *agent.Response, sink call.Sink) error {
 	if err := sink.Head(resp.Status, resp.Header); err != nil {
-		return err
+		return errors.Join(errDisconnected, err)
 	}
 	buf, ok := buffers.Get().(*[]byte)
 	if !ok {
@@ -157,7 +171,7 @@
 		n, err := resp.Body.Read(*buf)
 		if n > 0 {
 			if werr := sink.Write((*buf)[:n]); werr != nil {
-				return werr
+				return errors.Join(errDisconnected, werr)
 			}
 		}
 		switch {
--- a/internal/entry/attempt_test.go
+++ b/internal/entry/attempt_test.go
@@ -60,6 +60,47 @@
 	require.EqualValues(t, 1, arrived.Load())
 }
 
+// failingSink is a sink whose receiver has disconnected.
+type failingSink struct{}
+
+func (failingSink) Head(int, http.Header) error { return io.ErrClosedPipe }
+func (failingSink) Write([]byte) error          { return io.ErrClosedPipe }
+
+// Guards against taking a worker out of use because callers disconnect, which
+// says nothing about the worker.
+func TestDisconnectedCallerIsNoFailureOfTheWorker(t *testing.T) {
+	arrived := make(chan struct{}, 1)
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/hang" {
+			arrived <- struct{}{}
+			<-r.Context().Done()
+		}
+	}))
+	t.Cleanup(target.Close)
+	e := newEntry(t)
+	s := newShard(e, sched.ShardID{DataCentre: "a"}, 1)
+	s.serveUntil.Store(int64(time.Hour))
+	grant := pool.GrantCmd{Addr: netip.MustParseAddrPort(target.Listener.Addr().String())}
+	send := func(ctx context.Context, path string, sink call.Sink) pool.ReleaseMsg {
+		_, release := e.send(ctx, s, grant, call.Call{Method: "GET", Path: path}, &sched.Service{Timeout: time.Hour}, sink)
+		require.Equal(t, sched.Unknown, release.Outcome, "the slot is held")
+		return release
+	}
+	t.Run("the caller disconnects", func(t *testing.T) {
+		ctx, disconnect := context.WithCancel(t.Context())
+		go func() { <-arrived; disconnect() }()
+		require.Empty(t, send(ctx, "/hang", discard{}).Reason)
+	})
+	t.Run("the answer cannot be delivered", func(t *testing.T) {
+		require.Empty(t, send(t.Context(), "/", failingSink{}).Reason)
+	})
+	t.Run("a passed deadline is a failure", func(t *testing.T) {
+		ctx, pass := context.WithCancelCause(t.Context())
+		go func() { <-arrived; pass(context.DeadlineExceeded) }()
+		require.Equal(t, sched.ReasonTargetTimeout, send(ctx, "/hang", discard{}).Reason)
+	})
+}
+
 // Guards against an entry that shuts down and answers NotRun for an idempotency
 // key or a job id, although an earlier call with the same one may have run.
 func TestStoppingEntryDoesNotJudgeKeys(t *testing.T) {
--- a/internal/procs/site_test.go
+++ b/internal/procs/site_test.go
@@ -341,6 +341,11 @@
 func (s *site) awaitServed(bound time.Duration) {
 	s.t.Helper()
 	want := slots * workersPerProcess * len(s.workers)
+	s.t.Cleanup(func() {
+		if s.t.Failed() {
+			s.logWorkers()
+		}
+	})
 	s.await(bound, "all slots are served", func() bool {
 		free := 0
 		for _, e := range s.liveEntries() {
@@ -354,6 +359,23 @@
 	})
 }
 
+// logWorkers logs how each entry sees the workers of its shards.
+func (s *site) logWorkers() {
+	for _, e := range s.liveEntries() {
+		req, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/v1/workers", e.admin), nil)
+		require.NoError(s.t, err)
+		req.Header.Set("Authorization", "Bearer "+token)
+		resp, err := s.http.Do(req)
+		if err != nil {
+			s.t.Logf("workers of %s: %v", e.name, err)
+			continue
+		}
+		body, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		s.t.Logf("workers of %s: %s %v", e.name, body, err)
+	}
+}
+
 // allOwned reports whether a table names an owner for every shard.
 func allOwned(value []byte) bool {
 	table, err := owner.ParseTable(value)
