Keep tasks with a bound available when best-effort runs are moved

Cause: the move of a throttled best-effort run did not look at the bound on unavailable tasks of its step. Change: a run is moved only while fewer tasks of its step than the bound are away. The emulator checks each stop against the bound, and reports tail latencies that do not depend on the order of a map.

--- a/internal/emul/load.go
+++ b/internal/emul/load.go
@@ -34,6 +34,9 @@
 	BestEffort bool
 	Perpetual  bool
 	Checkpoint bool
+	// MaxUnavailable bounds how many tasks of a perpetual step the scheduler may
+	// keep from running at the same time, 0 for no bound.
+	MaxUnavailable int
 	// FailureShare is the share of the runs that fail.
 	FailureShare float64
 	// AlwaysFails is the share of jobs whose runs all fail.
@@ -86,6 +89,7 @@
 		Count: max(1, int(math.Round(c.Width*e.spread(0.6)))), Resources: need,
 		Estimate: time.Duration(float64(took) * off), Image: image, TailTarget: c.TailTarget,
 		BestEffort: c.BestEffort, Perpetual: c.Perpetual, Checkpoint: c.Checkpoint, Speculative: e.Rand.Float64() < c.Copies,
+		MaxUnavailable: c.MaxUnavailable,
 	}
 	if e.Rand.Float64() < c.Spread {
 		spec.AntiAffinity = 1
--- a/internal/emul/oracle.go
+++ b/internal/emul/oracle.go
@@ -60,6 +60,39 @@
 	}
 }
 
+// checkStop checks a stop that a worker executes. A stop must not make more tasks
+// of a step unavailable than the step permits. Tasks on a worker that is draining
+// and tasks of a cancelled job may be stopped at any time.
+func (e *Emulator) checkStop(w *Worker, r *Run) {
+	limit := r.spec.MaxUnavailable
+	if limit == 0 || w.Member.Draining || !r.job.Cancelled.IsZero() {
+		return
+	}
+	away := 0
+	for i := range r.spec.Count {
+		t := r.ID.Task
+		t.Index = i
+		if i != r.ID.Task.Index && !e.available(t) {
+			away++
+		}
+	}
+	if away >= limit {
+		e.violate("%s is stopped on %s while %d other tasks of its step are away, and %d may be", taskName(r.ID.Task), w.Member.Worker, away, limit)
+	}
+}
+
+// available reports whether a task runs on a worker and is not being stopped.
+func (e *Emulator) available(t sched.RunTask) bool {
+	for _, w := range e.Workers {
+		for id, r := range w.runs {
+			if id.Task == t && w.up && r.stopAt.IsZero() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // leadersReachStore reports whether every live leader has been connected to the
 // store for at least cancelBound. Otherwise a leader may not know of a
 // cancellation yet.
@@ -185,13 +218,14 @@
 // milliseconds: a random base value, multiplied by the worker's TailFactor, plus
 // an amount for each best-effort run on the worker whose image interferes
 // with the task's. It also records how long the task misses its target.
-func (e *Emulator) tailLatency(w *Worker, r *Run) float64 {
+// runs holds the runs on the worker in a fixed order.
+func (e *Emulator) tailLatency(w *Worker, r *Run, runs []*Run) float64 {
 	target := float64(r.spec.TailTarget.Milliseconds())
 	tail := target * (0.35 + 0.2*e.Rand.Float64())
 	if w.TailFactor > 0 {
 		tail *= w.TailFactor
 	}
-	for _, o := range w.runs {
+	for _, o := range runs {
 		if o.spec.BestEffort && e.Interferes(o.spec.Image, r.spec.Image) {
 			tail += target * 8 * o.speed * float64(o.spec.Resources.CPU) / float64(w.Member.Capacity.CPU)
 		}
--- a/internal/emul/worker.go
+++ b/internal/emul/worker.go
@@ -354,6 +354,7 @@
 	}
 	w.closed[o.Run.Task] = max(w.closed[o.Run.Task], o.Run.Number)
 	if r := w.runs[o.Run]; r != nil && r.stopAt.IsZero() {
+		w.e.checkStop(w, r)
 		r.stopAt = w.e.now.Add(stopDelay)
 		w.e.After(stopDelay, func() {
 			if w.runs[o.Run] == r {
@@ -418,10 +419,11 @@
 // report returns the worker's runs and unacknowledged run ends.
 func (w *Worker) report() sched.RenewReport {
 	rep := sched.RenewReport{Clock: w.clock(), Born: w.Member.Born, Ended: append([]sched.RunEnd(nil), w.ends...)}
-	for _, r := range w.sortedRuns() {
+	runs := w.sortedRuns()
+	for _, r := range runs {
 		rr := sched.RunReport{Run: r.ID, Percent: r.percentDone()}
 		if r.spec.LatencyCritical() {
-			rr.Percent, rr.Load = 100, w.e.tailLatency(w, r)
+			rr.Percent, rr.Load = 100, w.e.tailLatency(w, r, runs)
 		}
 		rep.Running = append(rep.Running, rr)
 	}
--- a/pkg/sched/flow/consolidate.go
+++ b/pkg/sched/flow/consolidate.go
@@ -116,7 +116,7 @@
 func (m *Machine) consolidationTarget(r *run) *worker {
 	t := r.task
 	ran := m.now.Sub(r.firstSent)
-	if t.step.spec.MaxUnavailable > 0 || t.step.spec.Gang || !r.ready() || ran < minConsolidationAge || ran > maxConsolidationAge {
+	if !t.step.mayLose(t) || t.step.spec.Gang || !r.ready() || ran < minConsolidationAge || ran > maxConsolidationAge {
 		return nil
 	}
 	to := m.chooseWorker(t, m.fleet.Queues[t.job().queue])
--- a/pkg/sched/flow/interference.go
+++ b/pkg/sched/flow/interference.go
@@ -306,7 +306,8 @@
 	}
 }
 
-// ready reports whether a latency-critical task has finished starting.
+// ready reports whether a perpetual task has finished starting and is not being
+// stopped.
 func (r *run) ready() bool { return r.state == runRunning && r.percent >= fullSpeed }
 
 // tailRatio returns the tail latency of a latency-critical task relative to its
--- a/pkg/sched/flow/preempt.go
+++ b/pkg/sched/flow/preempt.go
@@ -175,8 +175,9 @@
 }
 
 // preemptable reports whether a queue of the given priority may stop a run. A
-// higher number is a lower priority. Gangs and steps with a bound on unavailable
-// tasks are not preempted.
+// higher number is a lower priority. Gangs are not preempted, nor are tasks of
+// steps with a bound on unavailable tasks, because another stop of the same pass
+// could exceed the bound.
 func (m *Machine) preemptable(r *run, priority int) bool {
 	q := m.fleet.Queues[r.task.job().queue]
 	return q.Priority > priority && r.state == runRunning && r.task.step.spec.MaxUnavailable == 0 && !r.task.step.spec.Gang
--- a/pkg/sched/flow/throttle.go
+++ b/pkg/sched/flow/throttle.go
@@ -305,9 +305,10 @@
 		r.worker.worstTailRatio() > 1 && to.throttleFactor >= closedBelowFactor && to.worstTailRatio() <= 1
 }
 
-// worthMoving reports whether a stop loses little of a run's work.
+// worthMoving reports whether a stop loses little of a run's work and leaves
+// enough tasks of its step available.
 func (m *Machine) worthMoving(r *run) bool {
-	if r.task.step.spec.Gang {
+	if r.task.step.spec.Gang || !r.task.step.mayLose(r.task) {
 		return false
 	}
 	return r.task.step.spec.Checkpoint || r.percent < movableBelowPercent
