--- a/internal/emul/orders.go
+++ b/internal/emul/orders.go
@@ -1,8 +1,6 @@
 package emul
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/mangoslip/mangoslip/pkg/sched"
@@ -125,20 +123,3 @@
 		}
 	})
 }
-
-// sortedRuns returns the runs in a fixed order, so that a simulation with the
-// same seed repeats exactly.
-func (w *Worker) sortedRuns() []*Run {
-	out := make([]*Run, 0, len(w.runs))
-	for _, r := range w.runs {
-		out = append(out, r)
-	}
-	slices.SortFunc(out, func(a, b *Run) int {
-		return cmp.Or(
-			cmp.Compare(a.ID.Task.Job, b.ID.Task.Job), cmp.Compare(a.ID.Task.Occurrence, b.ID.Task.Occurrence),
-			cmp.Compare(a.ID.Task.Step, b.ID.Task.Step), cmp.Compare(a.ID.Task.Index, b.ID.Task.Index),
-			cmp.Compare(a.ID.Number, b.ID.Number),
-		)
-	})
-	return out
-}
--- a/internal/emul/store.go
+++ b/internal/emul/store.go
@@ -88,7 +88,7 @@
 	s := &e.store
 	conflict := flow.CommitFailedMsg{Seq: cmd.Seq, Conflict: true, Versions: map[string]sched.Version{}, Err: sched.ErrConflict}
 	conflicting := l.term != s.term
-	conflict.Deposed = conflicting
+	conflict.Superseded = conflicting
 	for _, r := range cmd.Records {
 		conflict.Versions[r.Key] = s.items[r.Key].Version
 		conflicting = conflicting || s.items[r.Key].Version != r.Version
@@ -143,7 +143,7 @@
 	l := &Leader{e: e, term: s.term, cut: map[*Worker]bool{}}
 	l.Machine = flow.New(s.term, append([]flow.Option{wall}, opts...)...)
 	for _, old := range e.leaders {
-		old.depose()
+		old.stepDown()
 	}
 	e.leaders = append(e.leaders, l)
 	l.post(flow.ConfirmedMsg{Asked: e.now})
@@ -214,13 +214,13 @@
 // CutWorker sets whether the leader is cut off from a worker.
 func (l *Leader) CutWorker(w *Worker, cut bool) { l.cut[w] = cut }
 
-// depose makes a leader give up leadership because a newer term has begun, as
+// stepDown makes a leader give up leadership because a newer term has begun, as
 // soon as a watch reports that term. The emulated watch delivers terms and jobs in
 // order, so the leader learns of the term before any later job.
-func (l *Leader) depose() {
+func (l *Leader) stepDown() {
 	l.e.After(watchDelay, func() {
 		if l.storeCut || l.e.store.down {
-			l.depose()
+			l.stepDown()
 			return
 		}
 		l.LostReason = "a newer term exists in the store"
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -342,7 +342,7 @@
 	failed := flow.CommitFailedMsg{Seq: cmd.Seq, Err: err}
 	if conflict := (*sched.ConflictError)(nil); errors.As(err, &conflict) {
 		failed.Conflict = true
-		failed.Deposed = conflict.Version(layout.TermKey) != t.version
+		failed.Superseded = conflict.Version(layout.TermKey) != t.version
 		failed.Versions = map[string]sched.Version{}
 		for _, r := range cmd.Records {
 			failed.Versions[r.Key] = conflict.Version(layout.Root + r.Key)
--- a/pkg/sched/flow/commit.go
+++ b/pkg/sched/flow/commit.go
@@ -241,7 +241,7 @@
 	if f == nil {
 		return
 	}
-	if msg.Deposed {
+	if msg.Superseded {
 		m.endTerm("a newer term exists in the store")
 		return
 	}
--- a/pkg/sched/flow/messages.go
+++ b/pkg/sched/flow/messages.go
@@ -132,10 +132,10 @@
 type CommitFailedMsg struct {
 	Seq      uint64
 	Conflict bool
-	// Deposed means that a newer term exists.
-	Deposed  bool
-	Versions map[string]sched.Version
-	Err      error
+	// Superseded means that a newer term exists.
+	Superseded bool
+	Versions   map[string]sched.Version
+	Err        error
 }
 
 // LogCmd asks the runner to log a decision with its inputs.
--- /dev/null
+++ b/pkg/sched/flow/start.go
@@ -0,0 +1,152 @@
+package flow
+
+import (
+	"time"
+
+	"github.com/mangoslip/mangoslip/pkg/sched"
+)
+
+// startRun creates a run of a task on a worker and orders its start.
+func (m *Machine) startRun(t *task, w *worker, number uint64) {
+	m.dequeue(t, phaseActive)
+	t.number = max(t.number, number)
+	r := &run{
+		task: t, number: number, worker: w, need: t.step.spec.Need(),
+		firstSent: m.now, resumedFrom: t.checkpoint, progressedAt: m.now,
+	}
+	r.throttle.init()
+	m.attach(r)
+	m.sendStart(r)
+}
+
+// sendStart sends the start of a run for the first time or again.
+func (m *Machine) sendStart(r *run) {
+	w := r.worker
+	r.lastSent, r.inCall = m.now, true
+	r.tries++
+	ticket, _ := r.task.step.ticket(w, m.now)
+	order := sched.StartOrder{
+		Run: r.id(), Text: r.task.job().spec.Text, Deadline: w.extendDeadline(m.now, m.lease),
+		Fence: m.term, Saved: r.resumedFrom, Ticket: ticket,
+	}
+	m.log("start ordered", "id", r.task.job().spec.ID, "task", r.task.name(), "run", r.number, "worker", w.name(),
+		"try", r.tries, "waited", m.now.Sub(r.task.queuedAt), "contact", w.sinceContact(m.now))
+	m.emit(StartCmd{Member: w.member, Order: order})
+}
+
+// maxStartTries bounds how often an unanswered start is sent before the run is
+// stopped.
+const maxStartTries = 2
+
+// handleStartResult handles the answer to a start.
+func (m *Machine) handleStartResult(msg StartResultMsg) {
+	w := m.workers[msg.Worker]
+	if w == nil {
+		return
+	}
+	r := w.runs[msg.Run]
+	if msg.Err == nil && msg.Reply.HasClock {
+		w.recordClock(msg.Sent, m.now, msg.Reply.Clock)
+	}
+	if msg.Err == nil && msg.Reply.Refusal == sched.OrderFenced {
+		m.endTerm("worker " + string(msg.Worker) + " has seen a newer term")
+		return
+	}
+	if r == nil {
+		return
+	}
+	r.inCall = false
+	switch {
+	case msg.Err == nil && msg.Reply.Refusal == sched.OrderAccepted:
+		m.startAccepted(r)
+	case msg.Err == nil:
+		m.startRefused(r, msg.Reply.Refusal)
+	case notCarriedOut(msg.Err):
+		m.startUnsent(r, msg.Err)
+	default:
+		m.startUnanswered(r, msg.Err)
+	}
+}
+
+// startAccepted records that the worker has the run.
+func (m *Machine) startAccepted(r *run) {
+	r.worker.contactAt = m.now
+	r.worker.fullBackoff = 0
+	r.knownAt = m.now
+	r.task.job().started = true
+	if r.state == runStarting {
+		r.state = runRunning
+	}
+	m.maintainWorker(r.worker)
+}
+
+// startRefused handles a definite refusal. If an earlier copy of the start was
+// not answered, that copy may still be carried out, so the run is stopped
+// first.
+func (m *Machine) startRefused(r *run, why sched.OrderRefusal) {
+	w := r.worker
+	m.log("start refused", "id", r.task.job().spec.ID, "task", r.task.name(), "run", r.number, "worker", w.name(),
+		"reason", why, "try", r.tries, "free", w.free())
+	switch why {
+	case sched.OrderUnhealthy:
+		w.startQuarantine(m.now, "unhealthy")
+	case sched.OrderNoCapacity:
+		w.fullBackoff = min(max(2*w.fullBackoff, minFullBackoff), maxFullBackoff)
+		w.fullUntil = m.now.Add(w.fullBackoff)
+	case sched.OrderOtherIncarnation:
+		w.replaced = true
+	case sched.OrderNoTicket:
+		if a := r.task.step.advice; a != nil {
+			delete(a.decisions, w)
+		}
+	case sched.OrderStaleRun:
+		if r.tries > 1 {
+			// An earlier copy was carried out and the run has ended. The worker lists
+			// the end.
+			r.knownAt = m.now
+			m.maintainWorker(w)
+			return
+		}
+	}
+	if r.tries > 1 {
+		m.stop(r, "start refused after a lost answer")
+		return
+	}
+	m.close(r, sched.EndWorkerGone, "")
+}
+
+// minFullBackoff is how long a worker that refused a start for lack of capacity
+// gets no further start. The time doubles up to maxFullBackoff until the worker
+// accepts one.
+const (
+	minFullBackoff = 200 * time.Millisecond
+	maxFullBackoff = 3200 * time.Millisecond
+)
+
+// startUnsent handles a start that was certainly not carried out.
+func (m *Machine) startUnsent(r *run, err error) {
+	m.log("start not sent", "id", r.task.job().spec.ID, "task", r.task.name(), "run", r.number,
+		"worker", r.worker.name(), "try", r.tries, "error", err)
+	m.lostContact(r.worker, err)
+	if r.tries > 1 {
+		m.stop(r, "start not sent after a lost answer")
+		return
+	}
+	m.close(r, sched.EndWorkerGone, "")
+}
+
+// startUnanswered handles a start that may have been carried out or may still
+// be. The same run is ordered again; the worker starts it only once.
+func (m *Machine) startUnanswered(r *run, err error) {
+	m.log("start has no answer", "id", r.task.job().spec.ID, "task", r.task.name(), "run", r.number,
+		"worker", r.worker.name(), "try", r.tries, "error", err)
+	r.worker.suspect(m.now)
+	if r.state != runStarting {
+		return
+	}
+	if r.tries < maxStartTries {
+		m.sendStart(r)
+		return
+	}
+	m.stop(r, "start has no answer")
+}
