--- a/pkg/sched/tasks/cluster_test.go
+++ b/pkg/sched/tasks/cluster_test.go
@@ -136,7 +136,7 @@
 		require.NoError(cl.t, restored.Restore(r))
 	}
 	require.Equal(cl.t, written, restored.Snapshot())
-	cl.journal = append(written, cl.unconfirmed...)
+	cl.journal = slices.Concat(written, cl.unconfirmed)
 }
 
 func (cl *cluster) list() []sched.Instance {
