Check the permission to issue orders before each message

Cause: a leader counted the age of its last confirmation only in ticks. A process that had been paused for longer than the confirmation is valid could start a run on the first message after the pause. Change: the permission is checked before each message; the workers that answered are counted at most every 10 ms. Result: TestPausedLeaderIssuesNoOrders fails before (a start 10 s after the last confirmation) and passes after.

--- a/pkg/sched/flow/confirmation.go
+++ b/pkg/sched/flow/confirmation.go
@@ -11,6 +11,9 @@
 	// the store does not confirm the term.
 	answerValid    = 2 * time.Second
 	answerInterval = time.Second
+	// permissionInterval is the shortest time between two counts of the workers
+	// that answered.
+	permissionInterval = 10 * time.Millisecond
 )
 
 // ConfirmedMsg reports that the store showed this term as the newest one. Asked
@@ -49,6 +52,10 @@
 // updateMayIssueOrders updates mayIssueOrders and logs when the permission is
 // lost or regained.
 func (m *Machine) updateMayIssueOrders() {
+	if m.unconfirmed() && m.now.Sub(m.permissionAt) < permissionInterval {
+		return
+	}
+	m.permissionAt = m.now
 	if ok := m.allowedToIssueOrders(); ok != m.mayIssueOrders {
 		m.mayIssueOrders = ok
 		m.log("permission to issue orders changed", "term", m.term, "entitled", ok, "confirmed", m.now.Sub(m.confirmedAt))
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -105,9 +105,11 @@
 	loaded bool
 
 	// confirmedAt is when the store was last asked and showed this term as the
-	// newest. mayIssueOrders tells whether runs may be started and leases renewed.
+	// newest. mayIssueOrders tells whether runs may be started and leases renewed,
+	// as determined at permissionAt.
 	confirmedAt    time.Time
 	mayIssueOrders bool
+	permissionAt   time.Time
 }
 
 var _ sched.Machine = (*Machine)(nil)
@@ -141,6 +143,9 @@
 		return nil
 	}
 	m.now, m.cmds = now, nil
+	// The process may have been paused since the last message, so that the
+	// permission has expired without a tick.
+	m.updateMayIssueOrders()
 	m.apply(msg)
 	if m.lost {
 		return m.cmds
--- /dev/null
+++ b/pkg/sched/flow/pause_test.go
@@ -0,0 +1,83 @@
+package flow_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mangoslip/mangoslip/pkg/sched"
+	"github.com/mangoslip/mangoslip/pkg/sched/flow"
+)
+
+// leaderOfOne is a machine that leads one worker. The worker answers renewals at
+// once, except those that wait for the end of a run.
+type leaderOfOne struct {
+	m   *flow.Machine
+	now time.Time
+}
+
+func newLeaderOfOne() *leaderOfOne {
+	l := &leaderOfOne{m: flow.New(1), now: time.Unix(1_700_000_000, 0)}
+	member := sched.Member{Worker: "w", Service: "Pool", Capacity: sched.Resources{CPU: 8000, Memory: gib}, Born: 1}
+	l.update(flow.ConfirmedMsg{Asked: l.now})
+	l.update(flow.ConfigMsg{Fleet: &sched.FleetConfig{
+		Revision: 1, Queues: map[sched.QueueName]sched.Queue{"Q": {Name: "Q", Service: "Pool"}},
+	}})
+	l.update(flow.MembersMsg{Members: []sched.Member{member}})
+	l.update(flow.TakeoverMsg{})
+	return l
+}
+
+// update delivers a message and answers the renewals and commits that result. It
+// returns the starts and the renewals that extend a deadline.
+func (l *leaderOfOne) update(msg sched.Msg) (starts []flow.StartCmd, extended []flow.RenewCmd) {
+	cmds := l.m.Update(l.now, msg)
+	for len(cmds) > 0 {
+		c := cmds[0]
+		cmds = cmds[1:]
+		switch c := c.(type) {
+		case flow.StartCmd:
+			starts = append(starts, c)
+		case flow.RenewCmd:
+			if c.Order.HasDeadline {
+				extended = append(extended, c)
+			}
+			if c.Order.Wait > 0 {
+				continue
+			}
+			cmds = append(cmds, l.m.Update(l.now, flow.RenewResultMsg{
+				Result: flow.Result{Worker: "w", Sent: l.now}, Seq: c.Seq,
+				Report: sched.RenewReport{Clock: time.Duration(l.now.UnixNano()), Born: 1},
+			})...)
+		case flow.CommitCmd:
+			cmds = append(cmds, l.m.Update(l.now, flow.CommittedMsg{Seq: c.Seq, Version: 1})...)
+		}
+	}
+	return starts, extended
+}
+
+func (l *leaderOfOne) submit(id sched.JobID) (starts []flow.StartCmd, extended []flow.RenewCmd) {
+	return l.update(flow.JobMsg{Accepted: l.now.UnixMilli(), Job: &sched.Workflow{
+		ID: id, Queue: "Q", Steps: []sched.StepSpec{{Count: 1, Resources: sched.Resources{CPU: 1000}}},
+	}})
+}
+
+// Guards against a leader whose process was paused, and that starts a run or
+// renews leases on a confirmation of its term that has expired meanwhile. The
+// first message after the pause may be any.
+func TestPausedLeaderIssuesNoOrders(t *testing.T) {
+	l := newLeaderOfOne()
+	l.now = l.now.Add(100 * time.Millisecond)
+	starts, _ := l.submit("before")
+	require.Len(t, starts, 1)
+
+	l.now = l.now.Add(10 * time.Second)
+	starts, extended := l.submit("after")
+	require.Empty(t, starts)
+	require.Empty(t, extended)
+
+	l.now = l.now.Add(100 * time.Millisecond)
+	starts, _ = l.update(flow.ConfirmedMsg{Asked: l.now})
+	require.Len(t, starts, 1, "the task starts once the term is confirmed again")
+}
