Let permissions expire while the machine is suspended

Cause: the validity of a leader's term and of the ownership of a shard was measured on the monotonic clock, which stands still while a machine is suspended. A process that continued after a suspension acted on a permission that had run out. Change: package clock adds the time of suspensions (CLOCK_BOOTTIME against CLOCK_MONOTONIC) to the time that leader and ownership use. Due times of repeated jobs keep the time of day. Ruled out: the time of day as the measure; it jumps. Result: TestSuspendedLeaderIsNotConfirmed and TestSuspendedOwnerDoesNotServe fail with time.Now in place of the new clock and pass with it.

--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"time"
 
 	"github.com/mangoslip/mangoslip/internal/admin"
 	"github.com/mangoslip/mangoslip/pkg/client"
@@ -82,7 +81,7 @@
 
 // Metrics implements admin.Backend.
 func (b adminBackend) Metrics(w http.ResponseWriter, r *http.Request) {
-	b.e.gauges(time.Now())
+	b.e.gauges(b.e.now())
 	b.e.stats.ServeHTTP(w, r)
 }
 
--- a/internal/entry/attempt_test.go
+++ b/internal/entry/attempt_test.go
@@ -46,7 +46,7 @@
 	s := newShard(e, sched.ShardID{DataCentre: "a"}, 1)
 	grant := pool.GrantCmd{Addr: netip.MustParseAddrPort(target.Listener.Addr().String())}
 	send := func(until time.Duration) (call.Result, pool.ReleaseMsg) {
-		s.serveUntil.Store(int64(time.Since(e.start) + until))
+		s.serveUntil.Store(int64(e.now().Sub(e.start) + until))
 		return e.send(t.Context(), s, grant, call.Call{Method: "GET", Path: "/"}, &sched.Service{Timeout: time.Minute}, discard{})
 	}
 
@@ -60,6 +60,17 @@
 	require.EqualValues(t, 1, arrived.Load())
 }
 
+// Guards against an owner that still serves a shard when its machine continues
+// after a suspension, in which the monotonic clock stood still.
+func TestSuspendedOwnerDoesNotServe(t *testing.T) {
+	e := newEntry(t)
+	s := newShard(e, sched.ShardID{DataCentre: "a"}, 1)
+	s.serveUntil.Store(int64(e.now().Sub(e.start) + time.Minute))
+	require.True(t, s.serving())
+	e.now = func() time.Time { return time.Now().Add(2 * time.Minute) }
+	require.False(t, s.serving())
+}
+
 // failingSink is a sink whose receiver has disconnected.
 type failingSink struct{}
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -32,6 +32,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/mangoslip/mangoslip/internal/agent"
+	"github.com/mangoslip/mangoslip/internal/clock"
 	"github.com/mangoslip/mangoslip/internal/peer"
 	"github.com/mangoslip/mangoslip/internal/stats"
 	"github.com/mangoslip/mangoslip/pkg/sched"
@@ -62,6 +63,9 @@
 	// one of the same name.
 	process string
 	start   time.Time
+	// now returns the current time. Ownership depends on it, so it advances while
+	// the process does not run.
+	now func() time.Time
 	// ids is the last id that was assigned to a waiter or a request. Some ids are
 	// used as seeds of random choices.
 	ids   atomic.Uint64
@@ -122,7 +126,8 @@
 		Settings: s, Platform: p,
 		log:     slog.New(slog.DiscardHandler),
 		process: rand.Text(),
-		start:   time.Now(),
+		start:   clock.Now(),
+		now:     clock.Now,
 		peers:   peer.NewPool(s.Token),
 	}
 	for _, o := range opts {
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -43,7 +43,7 @@
 func (e *Entry) sendHeartbeat(ctx context.Context, name sched.EntryName, in sched.Instance) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatInterval)
 	defer cancel()
-	sent := time.Now()
+	sent := e.now()
 	v, err := e.peers.Dial(in.Control).Heartbeat(ctx, e.ownView())
 	if err != nil {
 		e.stats.Count("Peers", "HeartbeatFailed")
@@ -64,11 +64,11 @@
 // the table or the list itself.
 func (e *Entry) Heartbeat(_ context.Context, v peer.View) peer.View {
 	if in, ok := e.listView.Load().entries[v.From]; ok {
-		e.recordHints(v.From, in.DataCentre, v, time.Now())
+		e.recordHints(v.From, in.DataCentre, v, e.now())
 	}
 	e.peerRevision(v.From, v.Revision)
 	out := e.ownView()
-	now := time.Now()
+	now := e.now()
 	e.own.Lock()
 	defer e.own.Unlock()
 	if e.own.m == nil {
@@ -141,7 +141,7 @@
 // that the requests with an idempotency key that the entry ran count as ended.
 func (e *Entry) forgetUnlisted() {
 	listed := e.listView.Load().entries
-	now := time.Now()
+	now := e.now()
 	var gone []sched.EntryName
 	e.hints.Lock()
 	for name := range e.hints.views {
--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -42,7 +42,7 @@
 		e.own.Unlock()
 		return
 	}
-	cmds := e.own.m.Update(time.Now(), msg)
+	cmds := e.own.m.Update(e.now(), msg)
 	e.syncShards()
 	set := e.shards.Load()
 	for _, c := range cmds {
@@ -113,7 +113,7 @@
 func (e *Entry) readTable(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	sent := time.Now()
+	sent := e.now()
 	item, err := e.OwnershipStore.Get(ctx, owner.Key)
 	switch {
 	case errors.Is(err, sched.ErrNotFound):
@@ -154,7 +154,7 @@
 			}
 			continue
 		}
-		sent := time.Now()
+		sent := e.now()
 		item, err := e.OwnershipStore.Watch(ctx, owner.Key, after, watchWait)
 		switch {
 		case err == nil:
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -254,7 +254,7 @@
 	own := e.localShards(name)
 	e.hints.Lock()
 	defer e.hints.Unlock()
-	return slices.Clone(e.hints.placer.Place(time.Now(), name, own))
+	return slices.Clone(e.hints.placer.Place(e.now(), name, own))
 }
 
 // localShards returns the free slots and the targets of a service in each shard
--- a/internal/entry/shard.go
+++ b/internal/entry/shard.go
@@ -120,7 +120,7 @@
 // serving reports whether an effect of the shard may start now.
 func (s *shard) serving() bool {
 	until := s.serveUntil.Load()
-	return until != 0 && int64(time.Since(s.e.start)) < until && !s.releasing.Load()
+	return until != 0 && int64(s.e.now().Sub(s.e.start)) < until && !s.releasing.Load()
 }
 
 // post sends a message to a machine and starts the effects that result from it.
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -58,7 +58,7 @@
 func (e *Entry) readList(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, owner.ConfirmationAge/2)
 	defer cancel()
-	sent := time.Now()
+	sent := e.now()
 	instances, err := e.List.Instances(ctx)
 	if err != nil {
 		e.stats.Count("List", "Failed")
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -26,6 +26,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/mangoslip/mangoslip/internal/clock"
 	"github.com/mangoslip/mangoslip/internal/layout"
 	"github.com/mangoslip/mangoslip/internal/stats"
 	"github.com/mangoslip/mangoslip/pkg/sched"
@@ -104,6 +105,7 @@
 	adviser       sched.Adviser
 	// reachable reports whether another entry answers and can reach the store.
 	reachable func(ctx context.Context, e layout.Entry) bool
+	now       func() time.Time
 
 	mu          sync.Mutex
 	knownLeader layout.Leader
@@ -142,6 +144,10 @@
 	return func(x *Leader) { x.reachable = f }
 }
 
+// WithClock sets the function that returns the current time; the default is
+// [clock.Now]. The time has to advance while the process does not run.
+func WithClock(now func() time.Time) Option { return func(x *Leader) { x.now = now } }
+
 // WithAnnouncer sets a function that is called when this entry begins to lead.
 func WithAnnouncer(f func(layout.Leader)) Option { return func(x *Leader) { x.announce = f } }
 
@@ -150,7 +156,7 @@
 	l := &Leader{
 		Settings: s, store: store, orders: orders, log: slog.New(slog.DiscardHandler),
 		stats: stats.New(), ttl: defaultTTL, announce: func(layout.Leader) {},
-		reachable: func(context.Context, layout.Entry) bool { return false },
+		reachable: func(context.Context, layout.Entry) bool { return false }, now: clock.Now,
 	}
 	for _, o := range opts {
 		o(l)
@@ -242,7 +248,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	state, _, known = t.machine.State(id)
-	return state, known, t.machine.Confirmed(time.Now())
+	return state, known, t.machine.Confirmed(l.now())
 }
 
 // QueuedJobs returns the number of a queue's jobs of which no task has started,
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -168,8 +168,14 @@
 	workers *workers
 	adviser *adviser
 	entries []*entry
+	// suspended is the time for which the entries were suspended, in
+	// nanoseconds. [time.Now] does not include it.
+	suspended atomic.Int64
 }
 
+// now returns the time including suspensions.
+func (c *cluster) now() time.Time { return time.Now().Add(time.Duration(c.suspended.Load())) }
+
 // adviser permits every worker while it is not down.
 type adviser struct{ down atomic.Bool }
 
@@ -211,7 +217,7 @@
 	c.store.Put(layout.EntryPrefix+name, layout.Encode(layout.Entry{Name: sched.EntryName(name), Processors: processors}))
 	l := leader.New(leader.Settings{
 		Name: sched.EntryName(name), Processors: processors, MembersPrefix: membersPrefix, DecodeMembers: decodeMembers,
-	}, client, c.workers, leader.WithAdviser(c.adviser), leader.WithReachable(c.reachable), leader.WithAnnouncer(func(v layout.Leader) {
+	}, client, c.workers, leader.WithAdviser(c.adviser), leader.WithClock(c.now), leader.WithReachable(c.reachable), leader.WithAnnouncer(func(v layout.Leader) {
 		for _, e := range c.entries {
 			if e.Current().Name != v.Name {
 				go e.ObserveLeader(v)
@@ -414,6 +420,29 @@
 	})
 }
 
+// Guards against a leader whose machine was suspended and that still relies on the
+// last confirmation of its term, because its monotonic clock stood still.
+func TestSuspendedLeaderIsNotConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, 20*time.Second)
+		defer c.stopAll()
+		time.Sleep(time.Second)
+		l := c.leading()[0]
+		c.submit("1")
+		time.Sleep(time.Second)
+		_, known, confirmed := l.State("1")
+		require.True(t, known && confirmed)
+		l.client.SetCut(true)
+		c.suspended.Store(int64(10 * time.Second))
+		_, _, confirmed = l.State("1")
+		require.False(t, confirmed)
+		l.client.SetCut(false)
+		time.Sleep(2 * time.Second)
+		_, _, confirmed = l.State("1")
+		require.True(t, confirmed)
+	})
+}
+
 // Guards against a graceful shutdown after which the deployment has no leader
 // until the lease expires.
 func TestResign(t *testing.T) {
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -161,7 +161,7 @@
 		pause(t.ctx, renewInterval)
 		t.renewLease()
 		t.mu.Lock()
-		age := time.Since(t.confirmedAt)
+		age := t.l.now().Sub(t.confirmedAt)
 		t.mu.Unlock()
 		if age > maxConfirmationAge {
 			t.confirmTerm()
@@ -205,7 +205,7 @@
 
 // confirmTerm reads the term from the store to confirm that it is the newest.
 func (t *term) confirmTerm() {
-	asked := time.Now()
+	asked := t.l.now()
 	item, err := t.l.store.Get(t.ctx, layout.TermKey)
 	switch {
 	case err != nil:
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -56,8 +56,8 @@
 	ctx context.Context, l *Leader, t layout.Term, version sched.Version, lease sched.LeaseID,
 ) *term {
 	x := &term{
-		l: l, number: t.Number, version: version, lease: make(chan sched.LeaseID, 1), started: time.Now(),
-		confirmedAt: time.Now(), loggedInvalid: map[string]bool{},
+		l: l, number: t.Number, version: version, lease: make(chan sched.LeaseID, 1), started: l.now(),
+		confirmedAt: l.now(), loggedInvalid: map[string]bool{},
 		orderSlots: make(chan struct{}, maxDirectOrders),
 	}
 	x.lease <- lease
@@ -67,7 +67,8 @@
 		x.orders = l.newDispatcher(x.ctx, t.Number)
 		x.orderSlots = make(chan struct{}, maxDispatchedOrders)
 	}
-	x.machine = flow.New(t.Number, l.MachineOptions...)
+	wall := flow.WithWallClock(func(time.Time) int64 { return time.Now().UnixMilli() })
+	x.machine = flow.New(t.Number, append([]flow.Option{wall}, l.MachineOptions...)...)
 	return x
 }
 
@@ -89,7 +90,7 @@
 	}
 	t.l.mu.Unlock()
 	t.wg.Wait()
-	t.l.log.Info("term ends", "term", t.number, "cause", context.Cause(t.ctx), "error", err, "led", time.Since(t.started))
+	t.l.log.Info("term ends", "term", t.number, "cause", context.Cause(t.ctx), "error", err, "led", t.l.now().Sub(t.started))
 }
 
 func (t *term) spawn(f func()) {
@@ -161,7 +162,7 @@
 	}
 	t.post(takeover)
 	t.l.log.Info("state loaded", "term", t.number, "items", len(jobs), "progress", len(storedProgress),
-		"members", len(members), "roster", len(takeover.Roster), "took", time.Since(t.started))
+		"members", len(members), "roster", len(takeover.Roster), "took", t.l.now().Sub(t.started))
 	t.l.mu.Lock()
 	t.loaded = true
 	t.l.mu.Unlock()
@@ -188,7 +189,7 @@
 // returns.
 func (t *term) post(msg sched.Msg) {
 	t.mu.Lock()
-	cmds := t.machine.Update(time.Now(), msg)
+	cmds := t.machine.Update(t.l.now(), msg)
 	t.mu.Unlock()
 	for _, c := range cmds {
 		t.execute(c)
@@ -242,7 +243,7 @@
 		reply, err = t.orders.Start(ctx, cmd.Member, cmd.Order)
 		return err
 	})
-	t.l.stats.Observe("StartSeconds", time.Since(sent))
+	t.l.stats.Observe("StartSeconds", t.l.now().Sub(sent))
 	t.post(flow.StartResultMsg{
 		Result: flow.Result{Worker: cmd.Member.Worker, Sent: sent, Err: err}, Run: cmd.Order.Run, Reply: reply,
 	})
@@ -286,14 +287,14 @@
 var errNoAdviser = errors.New("no adviser is configured")
 
 func (t *term) askAdviser(cmd flow.AdviseCmd) {
-	sent := time.Now()
+	sent := t.l.now()
 	msg := flow.AdviseResultMsg{Request: cmd.Request, Sent: sent, Err: errNoAdviser}
 	if t.l.adviser != nil {
 		ctx, cancel := context.WithTimeout(t.ctx, cmd.Within)
 		defer cancel()
 		msg.Advice, msg.Err = t.l.adviser.Advise(ctx, cmd.Request)
 	}
-	t.l.stats.Observe("AdviceSeconds", time.Since(sent))
+	t.l.stats.Observe("AdviceSeconds", t.l.now().Sub(sent))
 	t.post(msg)
 }
 
@@ -304,9 +305,9 @@
 	timeout := t.timeouts.timeout(minimum)
 	ctx, cancel := context.WithTimeout(t.ctx, timeout+wait)
 	defer cancel()
-	sent := time.Now()
+	sent := t.l.now()
 	err := send(ctx)
-	took := time.Since(sent)
+	took := t.l.now().Sub(sent)
 	switch {
 	case err == nil && wait == 0:
 		t.timeouts.recordAnswer(took)
@@ -331,9 +332,9 @@
 		}
 		txn.Writes = append(txn.Writes, sched.Write{Key: key, Value: r.Value})
 	}
-	sent := time.Now()
+	sent := t.l.now()
 	version, err := t.l.store.Commit(t.ctx, txn)
-	t.l.stats.Observe("CommitSeconds", time.Since(sent))
+	t.l.stats.Observe("CommitSeconds", t.l.now().Sub(sent))
 	if err == nil {
 		t.recordConfirmation(sent)
 		t.post(flow.CommittedMsg{Seq: cmd.Seq, Version: version})
--- a/internal/leader/transfer.go
+++ b/internal/leader/transfer.go
@@ -53,7 +53,7 @@
 func (t *term) transferToStronger() {
 	for t.ctx.Err() == nil {
 		pause(t.ctx, transferCheckInterval)
-		if time.Since(t.started) < transferAfter || t.ctx.Err() != nil {
+		if t.l.now().Sub(t.started) < transferAfter || t.ctx.Err() != nil {
 			continue
 		}
 		for _, e := range t.l.strongerEntries(t.ctx) {
