Apply the readable rows of a worker's report

Cause: one row of a report that could not be read made the whole answer count as lost. The worker then counted as silent, its leases were not renewed, and all its runs ended. A run that a partial report does not list may still be in progress, and ends after an unreadable row are neither applied nor acknowledged. A change of the number of unreadable rows is logged.

--- a/pkg/sched/flow/renewal.go
+++ b/pkg/sched/flow/renewal.go
@@ -202,7 +202,8 @@
 	w.renewal.more = len(rep.Ended) >= maxEndsPerReport
 	first := !w.answered
 	m.applyEnds(w, rep.Ended)
-	m.applyRunReports(w, msg.Sent, rep.Running)
+	m.applyRunReports(w, msg.Sent, rep)
+	m.notePartialReport(w, rep.Unreadable)
 	if first {
 		// An earlier leader may have set a deadline this far ahead.
 		w.extendExpiry(m.now, m.maxLease)
@@ -248,13 +249,29 @@
 	m.taskEnded(t, w, e.Run.Number, e.How, e.Saved)
 }
 
+// notePartialReport logs that rows of a report could not be read. The worker
+// lists these rows again at once, so the next renewal is put off.
+func (m *Machine) notePartialReport(w *worker, unreadable int) {
+	if unreadable != w.unreadable {
+		m.log("report has rows that cannot be read", "worker", w.name(), "addr", w.member.Addr, "rows", unreadable,
+			"before", w.unreadable)
+	}
+	w.unreadable = unreadable
+	if unreadable > 0 {
+		w.renewal.notBefore = m.now.Add(unrecordedRenewPause)
+	}
+}
+
 // applyRunReports compares what the worker runs with what it is expected to
-// run.
-func (m *Machine) applyRunReports(w *worker, sent time.Time, running []sched.RunReport) {
-	listed := make(map[sched.Run]bool, len(running))
-	for i := range running {
-		listed[running[i].Run] = true
-		m.applyRunReport(w, &running[i])
+// run. A run that a partial report does not list may still be in progress.
+func (m *Machine) applyRunReports(w *worker, sent time.Time, rep *sched.RenewReport) {
+	listed := make(map[sched.Run]bool, len(rep.Running))
+	for i := range rep.Running {
+		listed[rep.Running[i].Run] = true
+		m.applyRunReport(w, &rep.Running[i])
+	}
+	if rep.Unreadable > 0 {
+		return
 	}
 	for _, r := range w.snapshot() {
 		if listed[r.id()] {
--- a/pkg/sched/flow/pause_test.go
+++ b/pkg/sched/flow/single_test.go
@@ -15,6 +15,8 @@
 type leaderOfOne struct {
 	m   *flow.Machine
 	now time.Time
+	// waiting is the renewal that waits for the end of a run.
+	waiting flow.RenewCmd
 }
 
 func newLeaderOfOne() *leaderOfOne {
@@ -44,6 +46,7 @@
 				extended = append(extended, c)
 			}
 			if c.Order.Wait > 0 {
+				l.waiting = c
 				continue
 			}
 			cmds = append(cmds, l.m.Update(l.now, flow.RenewResultMsg{
@@ -57,6 +60,15 @@
 	return starts, extended
 }
 
+// report answers the waiting renewal.
+func (l *leaderOfOne) report(r sched.RenewReport) (starts []flow.StartCmd) {
+	r.Clock, r.Born = time.Duration(l.now.UnixNano()), 1
+	starts, _ = l.update(flow.RenewResultMsg{
+		Result: flow.Result{Worker: "w", Sent: l.now}, Seq: l.waiting.Seq, Report: r,
+	})
+	return starts
+}
+
 func (l *leaderOfOne) submit(id sched.JobID) (starts []flow.StartCmd, extended []flow.RenewCmd) {
 	return l.update(flow.JobMsg{Accepted: l.now.UnixMilli(), Job: &sched.Workflow{
 		ID: id, Queue: "Q", Steps: []sched.StepSpec{{Count: 1, Resources: sched.Resources{CPU: 1000}}},
@@ -81,3 +93,24 @@
 	starts, _ = l.update(flow.ConfirmedMsg{Asked: l.now})
 	require.Len(t, starts, 1, "the task starts once the term is confirmed again")
 }
+
+// Guards against a run that counts as ended, and is started again, because a
+// report does not list it of which rows could not be read.
+func TestPartialReportEndsNoRun(t *testing.T) {
+	l := newLeaderOfOne()
+	l.now = l.now.Add(100 * time.Millisecond)
+	starts, _ := l.submit("job")
+	require.Len(t, starts, 1)
+	run := starts[0].Order.Run
+	l.update(flow.StartResultMsg{Result: flow.Result{Worker: "w", Sent: l.now}, Run: run, Reply: sched.OrderReply{HasClock: true}})
+
+	l.now = l.now.Add(time.Second)
+	require.Empty(t, l.report(sched.RenewReport{Unreadable: 1}))
+	l.now = l.now.Add(time.Second)
+	l.update(flow.ConfirmedMsg{Asked: l.now})
+	l.update(sched.TickMsg{})
+	l.report(sched.RenewReport{})
+	l.now = l.now.Add(100 * time.Millisecond)
+	starts, _ = l.update(sched.TickMsg{})
+	require.NotEmpty(t, starts, "a complete report shows that the run is gone")
+}
--- a/pkg/sched/flow/worker.go
+++ b/pkg/sched/flow/worker.go
@@ -65,6 +65,9 @@
 	processed, durable, acknowledged uint64
 	pending                          []pendingEnd
 
+	// unreadable counts the rows of the last report that could not be read.
+	unreadable int
+
 	// fullUntil is until when a worker that refused a start for lack of capacity
 	// gets no further start.
 	fullUntil   time.Time
--- a/pkg/sched/orders.go
+++ b/pkg/sched/orders.go
@@ -178,13 +178,17 @@
 	Saved string
 }
 
-// RenewReport answers a RenewOrder.
+// RenewReport answers a RenewOrder. Unreadable counts the rows of the report that
+// could not be read. If it is not 0, Running lacks runs that the worker has, and
+// Ended holds only the ends before the first unreadable one.
 type RenewReport struct {
 	Refusal OrderRefusal
 	Clock   time.Duration
 	Born    int64
 	Running []RunReport
 	Ended   []RunEnd
+
+	Unreadable int
 }
 
 // Orders sends the leader's orders to workers. An order that fails with
