Confine panics to the part of an entry in which they occur

Cause: a panic in one goroutine of mangoslip serve, for example in the state machine or while a list is decoded, ended the whole process, and a stored record that causes it would have ended each leader in turn. A stored job was run without a check, so that a negative count or an unknown step made the leader panic or exhaust its memory. Change: package guard turns a panic into a logged error. A panic in a term ends the term, and the next leader continues from the stored state; a job that makes the state machine panic twice is left out by that entry. Other loops are started again, orders and records that were cut off count as unknown.

--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -36,7 +36,6 @@
 
 // followConfig keeps the newest configuration in force until ctx ends.
 func (e *Entry) followConfig(ctx context.Context) {
-	e.t.Go(func() error { e.watchConfig(ctx); return nil })
 	lost := false
 	retry := newRetry()
 	for ctx.Err() == nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"goji.io/pat"
 	"gopkg.in/tomb.v2"
 
+	"github.com/mangoslip/mangoslip/internal/guard"
 	"github.com/mangoslip/mangoslip/internal/jobs"
 	"github.com/mangoslip/mangoslip/internal/layout"
 	"github.com/mangoslip/mangoslip/internal/leader"
@@ -111,7 +112,7 @@
 	for _, o := range opts {
 		o(e)
 	}
-	e.dispatcher = orders.NewDispatcher(p.Orders)
+	e.dispatcher = orders.NewDispatcher(p.Orders, orders.WithLogger(e.log))
 	p.Leader.Name, p.Leader.Addr = s.Name, s.Peer
 	e.leader = leader.New(p.Leader, p.Store, p.Orders, leader.WithLogger(e.log), leader.WithStats(e.stats),
 		leader.WithAnnouncer(e.announce), leader.WithDispatchers(e.termOrders), leader.WithAdviser(newAdviserPool(e)),
@@ -130,10 +131,11 @@
 		return err
 	}
 	run := e.t.Context(context.Background())
-	e.t.Go(func() error { e.followConfig(run); return nil })
-	e.t.Go(func() error { e.register(run); return nil })
-	e.t.Go(func() error { return e.leader.Run(run) })
-	e.t.Go(func() error { e.publishGauges(run); return nil })
+	e.loop(run, "follow configuration", e.followConfig)
+	e.loop(run, "watch configuration", e.watchConfig)
+	e.loop(run, "register", e.register)
+	e.loop(run, "lead", func(ctx context.Context) { _ = e.leader.Run(ctx) }) // It returns when ctx ends.
+	e.loop(run, "publish gauges", e.publishGauges)
 	select {
 	case <-ctx.Done():
 		e.stop()
@@ -145,6 +147,11 @@
 	return err
 }
 
+// loop runs f until ctx ends. A panic in f leaves the other loops running.
+func (e *Entry) loop(ctx context.Context, step string, f func(context.Context)) {
+	e.t.Go(func() error { guard.Loop(ctx, e.log, step, f); return nil })
+}
+
 // listen starts the HTTP servers.
 func (e *Entry) listen() error {
 	mux := http.NewServeMux()
@@ -291,12 +298,12 @@
 // announce tells the known entries that this one leads.
 func (e *Entry) announce(l layout.Leader) {
 	for _, p := range e.peers.list("") {
-		go func() {
+		guard.Go(e.log, "announce leader", func() {
 			ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 			defer cancel()
 			_, err := e.client.Ask(ctx, p.Addr, relay.Question{Verb: relay.VerbLeader, Leader: l})
 			e.log.Debug("leader announced", "peer", p.Name, "term", l.Term, "error", err)
-		}()
+		})
 	}
 }
 
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -20,6 +20,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/mangoslip/mangoslip/internal/guard"
 	"github.com/mangoslip/mangoslip/internal/layout"
 	"github.com/mangoslip/mangoslip/internal/relay"
 	"github.com/mangoslip/mangoslip/pkg/sched"
@@ -192,7 +193,9 @@
 	running := 0
 	if !s.health.Unreachable() {
 		running++
-		go func() { results <- s.recordInStore(ctx, key, value) }()
+		go func() {
+			results <- s.guarded("record in store", func() result { return s.recordInStore(ctx, key, value) })
+		}()
 	}
 	hedge := time.NewTimer(hedgeAfter)
 	defer hedge.Stop()
@@ -201,7 +204,7 @@
 		if !asked {
 			asked = true
 			running++
-			go func() { results <- s.askOthers(ctx, q) }()
+			go func() { results <- s.guarded("ask others", func() result { return s.askOthers(ctx, q) }) }()
 		}
 	}
 	if running == 0 {
@@ -232,6 +235,16 @@
 	return &sched.Refusal{Reason: sched.ReasonStoreUnavailable, Outcome: outcome, RetryAfter: s.retryAfter(), Err: last}
 }
 
+// guarded calls f. After a panic the outcome is unknown.
+func (s *Service) guarded(step string, f func() result) (r result) {
+	err := guard.Run(func() { r = f() })
+	if err != nil {
+		guard.Log(s.log, step, err)
+		return result{err: err, unknown: true}
+	}
+	return r
+}
+
 // recordInStore writes a key to the store and repeats the write while its outcome
 // is unknown.
 func (s *Service) recordInStore(ctx context.Context, key string, value []byte) result {
--- a/internal/jobs/stored.go
+++ b/internal/jobs/stored.go
@@ -130,7 +130,14 @@
 	case s.health.Unreachable():
 	case q.Verb == relay.VerbCancel:
 		r = s.recordInStore(ctx, layout.CancelKey(q.Job), layout.Encode(s.now().UnixMilli()))
-	case q.Workflow != nil:
+	case q.Workflow == nil:
+		a.Reason, a.Outcome = sched.ReasonBadRequest, sched.NotRun
+		return
+	case q.Workflow.Check() != nil:
+		s.log.Warn("job of another entry is invalid", "id", q.Job, "error", q.Workflow.Check())
+		a.Reason, a.Outcome = sched.ReasonBadRequest, sched.NotRun
+		return
+	default:
 		value := layout.Encode(layout.Job{Workflow: q.Workflow, Accepted: s.now().UnixMilli()})
 		r = s.recordInStore(ctx, layout.JobKey(q.Workflow.ID), value)
 	}
--- a/internal/layout/layout.go
+++ b/internal/layout/layout.go
@@ -22,6 +22,7 @@
 package layout
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
 	"strings"
@@ -101,5 +102,19 @@
 	return b
 }
 
+// DecodeJob reads and checks the stored form of a job.
+func DecodeJob(b []byte) (Job, error) {
+	var j Job
+	if err := Decode(b, &j); err != nil {
+		return Job{}, err
+	}
+	if j.Workflow == nil {
+		return Job{}, errNoWorkflow
+	}
+	return j, j.Workflow.Check()
+}
+
+var errNoWorkflow = errors.New("job has no workflow")
+
 // Decode reads the stored form of a value.
 func Decode(b []byte, v any) error { return cbor.Unmarshal(b, v) }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -112,6 +112,8 @@
 	fleet       *sched.FleetConfig
 	term        *term
 	resigned    bool
+	// jobPanics counts the panics of the state machine by the job that it got.
+	jobPanics map[sched.JobID]int
 }
 
 // Option changes a setting of a [Leader].
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -17,6 +17,7 @@
 	"github.com/mangoslip/mangoslip/internal/leader"
 	"github.com/mangoslip/mangoslip/internal/memory"
 	"github.com/mangoslip/mangoslip/pkg/sched"
+	"github.com/mangoslip/mangoslip/pkg/sched/flow"
 )
 
 // workers is a fake of [sched.Orders]. It applies orders at once, and every run
@@ -168,6 +169,8 @@
 	workers *workers
 	adviser *adviser
 	entries []*entry
+	// panics is how many more calls of decodeMembers and of the wall clock panic.
+	decodePanics, clockPanics atomic.Int64
 	// suspended is the time for which the entries were suspended, in
 	// nanoseconds. [time.Now] does not include it.
 	suspended atomic.Int64
@@ -216,7 +219,8 @@
 	client := c.store.Client()
 	c.store.Put(layout.EntryPrefix+name, layout.Encode(layout.Entry{Name: sched.EntryName(name), Processors: processors}))
 	l := leader.New(leader.Settings{
-		Name: sched.EntryName(name), Processors: processors, MembersPrefix: membersPrefix, DecodeMembers: decodeMembers,
+		Name: sched.EntryName(name), Processors: processors, MembersPrefix: membersPrefix, DecodeMembers: c.decodeMembers,
+		MachineOptions: []flow.Option{flow.WithWallClock(c.wallMillis)},
 	}, client, c.workers, leader.WithAdviser(c.adviser), leader.WithClock(c.now), leader.WithReachable(c.reachable), leader.WithAnnouncer(func(v layout.Leader) {
 		for _, e := range c.entries {
 			if e.Current().Name != v.Name {
@@ -256,7 +260,19 @@
 	return false
 }
 
-func decodeMembers(items []sched.Item) ([]sched.Member, map[string]error) {
+// wallMillis is the wall clock of the state machines. They read it when they get a
+// job.
+func (c *cluster) wallMillis(time.Time) int64 {
+	if c.clockPanics.Add(-1) >= 0 {
+		panic("broken clock")
+	}
+	return time.Now().UnixMilli()
+}
+
+func (c *cluster) decodeMembers(items []sched.Item) ([]sched.Member, map[string]error) {
+	if c.decodePanics.Add(-1) >= 0 {
+		panic("broken decoder")
+	}
 	var out []sched.Member
 	for _, i := range items {
 		out = append(out, sched.Member{
@@ -443,6 +459,68 @@
 	})
 }
 
+// Guards against a process that ends because a loop of its leader panics, and
+// against an entry that does not lead any more afterwards.
+func TestPanicEndsTheTermOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, time.Second)
+		defer c.stopAll()
+		time.Sleep(time.Second)
+		before := c.leading()[0].Current().Term
+		c.submit("1")
+		c.decodePanics.Store(1)
+		time.Sleep(4 * time.Second)
+		require.Len(t, c.leading(), 1)
+		require.Greater(t, c.leading()[0].Current().Term, before)
+		c.requireDone("1", 5*time.Second)
+	})
+}
+
+// Guards against a job that makes each leader panic and so keeps all other jobs
+// from running.
+func TestJobThatPanicsIsLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, time.Second)
+		defer c.stopAll()
+		time.Sleep(time.Second)
+		c.clockPanics.Store(2)
+		c.submit("bad")
+		time.Sleep(6 * time.Second)
+		c.submit("good")
+		c.requireDone("good", 5*time.Second)
+		_, known, leads := c.leading()[0].State("bad")
+		require.True(t, leads)
+		require.False(t, known)
+	})
+}
+
+// Guards against a stored job that cannot be run and that makes a leader panic or
+// hides the other jobs.
+func TestDamagedJobIsLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, time.Second)
+		defer c.stopAll()
+		c.store.Put(layout.JobKey("text"), []byte("no job"))
+		c.store.Put(layout.JobKey("none"), layout.Encode(layout.Job{}))
+		for id, steps := range map[sched.JobID][]sched.StepSpec{
+			"cycle":    {{Count: 1, After: []int{0}}},
+			"unknown":  {{Count: 1}, {Count: 1, After: []int{7}}},
+			"negative": {{Count: -1}},
+			"endless":  {{Count: 1 << 40}},
+			"empty":    nil,
+		} {
+			w := &sched.Workflow{ID: id, Queue: "Q", Steps: steps}
+			c.store.Put(layout.JobKey(id), layout.Encode(layout.Job{Workflow: w}))
+		}
+		other := &sched.Workflow{ID: "other", Queue: "Q", Steps: []sched.StepSpec{{Count: 1}}}
+		c.store.Put(layout.JobKey("renamed"), layout.Encode(layout.Job{Workflow: other}))
+		c.submit("good")
+		c.requireDone("good", 5*time.Second)
+		require.EqualValues(t, 1, c.leading()[0].Current().Term)
+		require.Len(t, c.workers.starts, 3, "the tasks of the good job")
+	})
+}
+
 // Guards against a graceful shutdown after which the deployment has no leader
 // until the lease expires.
 func TestResign(t *testing.T) {
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -75,9 +75,16 @@
 	if !ok {
 		return
 	}
-	var job layout.Job
-	if err := layout.Decode(c.Value, &job); err != nil || job.Workflow == nil {
-		t.l.log.Error("stored job is damaged", "id", id, "version", c.Version, "error", err)
+	job, err := layout.DecodeJob(c.Value)
+	if err == nil && job.Workflow.ID != id {
+		err = errOtherJob
+	}
+	if err == nil && t.l.isSuspectJob(id) {
+		err = errSuspectJob
+	}
+	if err != nil {
+		t.l.stats.Count("DamagedRecords", 1)
+		t.l.log.Error("stored job is not run", "id", id, "version", c.Version, "error", err)
 		return
 	}
 	p := progress[layout.Root+flow.KeyProgress+string(id)]
@@ -87,6 +94,31 @@
 	})
 }
 
+var (
+	errOtherJob   = errors.New("the record is that of another job")
+	errSuspectJob = errors.New("the state machine panicked repeatedly when it got the job")
+)
+
+// maxJobPanics is how often the state machine may panic when it gets a job before
+// this entry leaves the job out. A single panic may have another cause.
+const maxJobPanics = 2
+
+// suspectJob counts a panic of the state machine when it got a job.
+func (l *Leader) suspectJob(id sched.JobID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.jobPanics == nil {
+		l.jobPanics = map[sched.JobID]int{}
+	}
+	l.jobPanics[id]++
+}
+
+func (l *Leader) isSuspectJob(id sched.JobID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.jobPanics[id] >= maxJobPanics
+}
+
 // pollMembers polls the register of workers. A watch would deliver every
 // heartbeat of every worker as an event.
 func (t *term) pollMembers() {
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/mangoslip/mangoslip/internal/guard"
 	"github.com/mangoslip/mangoslip/internal/layout"
 	"github.com/mangoslip/mangoslip/pkg/sched"
 	"github.com/mangoslip/mangoslip/pkg/sched/flow"
@@ -39,6 +40,8 @@
 
 	mu      sync.Mutex
 	machine *flow.Machine
+	// broken means that the machine has panicked.
+	broken bool
 	// confirmedAt is the start of the most recent call to the store that showed
 	// the term to be the newest.
 	confirmedAt time.Time
@@ -75,13 +78,15 @@
 // run leads until the term ends.
 func (t *term) run() {
 	defer t.cancel(errTermOver)
-	after, err := t.load()
-	if err == nil {
-		t.spawn(func() { t.watchWork(after) })
-		t.spawn(t.pollMembers)
-		t.spawn(t.maintainLease)
-		t.spawn(t.tick)
-		t.spawn(t.transferToStronger)
+	var after sched.Version
+	var err error
+	t.guarded("load state", func() { after, err = t.load() })
+	if err == nil && t.ctx.Err() == nil {
+		t.spawn("watch work", func() { t.watchWork(after) })
+		t.spawn("read workers", t.pollMembers)
+		t.spawn("maintain lease", t.maintainLease)
+		t.spawn("tick", t.tick)
+		t.spawn("transfer leadership", t.transferToStronger)
 		<-t.ctx.Done()
 	}
 	t.l.mu.Lock()
@@ -93,11 +98,11 @@
 	t.l.log.Info("term ends", "term", t.number, "cause", context.Cause(t.ctx), "error", err, "led", t.l.now().Sub(t.started))
 }
 
-func (t *term) spawn(f func()) {
+func (t *term) spawn(step string, f func()) {
 	t.wg.Add(1)
 	go func() {
 		defer t.wg.Done()
-		f()
+		t.guarded(step, f)
 	}()
 }
 
@@ -111,7 +116,7 @@
 // asks the workers for their runs. It returns the version of the store from which
 // to watch for further work.
 func (t *term) load() (sched.Version, error) {
-	t.spawn(t.renewWhileLoading)
+	t.spawn("renew lease", t.renewWhileLoading)
 	jobs, after, err := t.rangeWithRetry(layout.WorkPrefix)
 	if err != nil {
 		return 0, err
@@ -188,14 +193,48 @@
 // post delivers a message to the state machine and executes the commands that it
 // returns.
 func (t *term) post(msg sched.Msg) {
-	t.mu.Lock()
-	cmds := t.machine.Update(t.l.now(), msg)
-	t.mu.Unlock()
+	cmds, err := t.update(msg)
+	if err != nil {
+		t.panicked("state machine", err)
+		if job, ok := msg.(flow.JobMsg); ok {
+			t.l.suspectJob(job.Job.ID)
+		}
+	}
 	for _, c := range cmds {
 		t.execute(c)
 	}
 }
 
+// update delivers a message to the state machine. After a panic the state may be
+// inconsistent, so the machine gets no further message.
+func (t *term) update(msg sched.Msg) (cmds []sched.Cmd, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.broken {
+		return nil, nil
+	}
+	err = guard.Run(func() { cmds = t.machine.Update(t.l.now(), msg) })
+	t.broken = err != nil
+	return cmds, err
+}
+
+// effect executes a command on a goroutine of its own.
+func (t *term) effect(step string, f func()) { go t.guarded(step, f) }
+
+// guarded calls f. A panic ends the term, so that the next leader continues from
+// the stored state, and leaves the rest of the process running.
+func (t *term) guarded(step string, f func()) {
+	if err := guard.Run(f); err != nil {
+		t.panicked(step, err)
+	}
+}
+
+func (t *term) panicked(step string, err error) {
+	guard.Log(t.l.log, step, err)
+	t.l.stats.Count("Panics", 1)
+	t.end("a part of the leader panicked")
+}
+
 // execute executes a command of the state machine. In the metrics, Paces counts
 // throttle orders and Holds counts renewals of workers' leases.
 func (t *term) execute(cmd sched.Cmd) {
@@ -204,22 +243,22 @@
 		t.l.log.Log(t.ctx, slog.LevelInfo, cmd.Event, cmd.Attrs...)
 	case flow.StartCmd:
 		t.l.stats.Count("Starts", 1)
-		go t.withOrderSlot(func() { t.start(cmd) })
+		t.effect("start", func() { t.withOrderSlot(func() { t.start(cmd) }) })
 	case flow.StopCmd:
 		t.l.stats.Count("Stops", 1)
-		go t.withOrderSlot(func() { t.stop(cmd) })
+		t.effect("stop", func() { t.withOrderSlot(func() { t.stop(cmd) }) })
 	case flow.ThrottleCmd:
 		t.l.stats.Count("Paces", 1)
-		go t.withOrderSlot(func() { t.throttle(cmd) })
+		t.effect("throttle", func() { t.withOrderSlot(func() { t.throttle(cmd) }) })
 	case flow.RenewCmd:
 		t.l.stats.Count("Holds", 1)
-		go t.renewWorkerLease(cmd)
+		t.effect("renew worker lease", func() { t.renewWorkerLease(cmd) })
 	case flow.AdviseCmd:
 		t.l.stats.Count("Advice", 1)
-		go t.askAdviser(cmd)
+		t.effect("ask adviser", func() { t.askAdviser(cmd) })
 	case flow.CommitCmd:
 		t.l.stats.Count("Commits", 1)
-		go t.commit(cmd)
+		t.effect("commit", func() { t.commit(cmd) })
 	case flow.LostCmd:
 		t.end(cmd.Why)
 	}
--- a/internal/orders/dispatcher.go
+++ b/internal/orders/dispatcher.go
@@ -22,6 +22,8 @@
 
 import (
 	"context"
+	"fmt"
+	"log/slog"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -30,6 +32,7 @@
 	"connectrpc.com/connect"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/mangoslip/mangoslip/internal/guard"
 	"github.com/mangoslip/mangoslip/internal/wire"
 	"github.com/mangoslip/mangoslip/pkg/sched"
 )
@@ -89,6 +92,7 @@
 // for concurrent use.
 type Dispatcher struct {
 	orders sched.Orders
+	log    *slog.Logger
 
 	mu       sync.Mutex
 	term     uint64
@@ -97,10 +101,20 @@
 	wake     chan struct{}
 }
 
+// DispatcherOption changes a setting of a [Dispatcher].
+type DispatcherOption func(*Dispatcher)
+
+// WithLogger sets the logger; the default discards.
+func WithLogger(l *slog.Logger) DispatcherOption { return func(d *Dispatcher) { d.log = l } }
+
 // NewDispatcher returns a dispatcher that uses the given implementation of
 // [sched.Orders] to reach the workers.
-func NewDispatcher(orders sched.Orders) *Dispatcher {
-	return &Dispatcher{orders: orders, wake: make(chan struct{}, 1)}
+func NewDispatcher(orders sched.Orders, opts ...DispatcherOption) *Dispatcher {
+	d := &Dispatcher{orders: orders, log: slog.New(slog.DiscardHandler), wake: make(chan struct{}, 1)}
+	for _, o := range opts {
+		o(d)
+	}
+	return d
 }
 
 // Handler returns the path and the HTTP handler of the service that accepts
@@ -178,17 +192,9 @@
 	m := sched.Member{Worker: o.Worker, Addr: o.Addr}
 	r := Result{ID: o.ID}
 	var err error
-	switch {
-	case o.Start != nil:
-		r.Reply, err = d.orders.Start(ctx, m, *o.Start)
-	case o.Stop != nil:
-		r.Reply, err = d.orders.Stop(ctx, m, *o.Stop)
-	case o.Throttle != nil:
-		r.Reply, err = d.orders.Throttle(ctx, m, *o.Throttle)
-	case o.Renew != nil:
-		var rep sched.RenewReport
-		rep, err = d.orders.Renew(ctx, m, *o.Renew)
-		r.Report = &rep
+	if panicked := guard.Run(func() { err = d.exchange(ctx, m, o, &r) }); panicked != nil {
+		guard.Log(d.log, "dispatch order", panicked)
+		err = panicked
 	}
 	if err != nil {
 		r.Failed, r.NotSent, r.Report = err.Error(), notSent(err), nil
@@ -204,6 +210,28 @@
 	}
 }
 
+// errNoOrder means that an order is of no known kind.
+var errNoOrder = fmt.Errorf("%w: order is of no known kind", sched.ErrUnavailable)
+
+// exchange sends an order and stores the worker's answer in r.
+func (d *Dispatcher) exchange(ctx context.Context, m sched.Member, o *Order, r *Result) (err error) {
+	switch {
+	case o.Start != nil:
+		r.Reply, err = d.orders.Start(ctx, m, *o.Start)
+	case o.Stop != nil:
+		r.Reply, err = d.orders.Stop(ctx, m, *o.Stop)
+	case o.Throttle != nil:
+		r.Reply, err = d.orders.Throttle(ctx, m, *o.Throttle)
+	case o.Renew != nil:
+		var rep sched.RenewReport
+		rep, err = d.orders.Renew(ctx, m, *o.Renew)
+		r.Report = &rep
+	default:
+		err = errNoOrder
+	}
+	return err
+}
+
 // Client sends batches to dispatchers. It is safe for concurrent use.
 type Client struct {
 	wire *wire.Transport
--- a/internal/orders/dispatcher_test.go
+++ b/internal/orders/dispatcher_test.go
@@ -233,6 +233,52 @@
 	})
 }
 
+// brokenWorkers panics with each start.
+type brokenWorkers struct{ workers }
+
+func (*brokenWorkers) Start(context.Context, sched.Member, sched.StartOrder) (sched.OrderReply, error) {
+	panic("broken client")
+}
+
+// Guards against a process that ends because one order or one batch of orders
+// makes it panic, and against an order that counts as not carried out then.
+func TestPanicCostsOneOrder(t *testing.T) {
+	t.Run("in a dispatcher", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(1)
+			f.dispatchers[f.addrs[0]] = orders.NewDispatcher(&brokenWorkers{})
+			p := f.pool(testContext(t), 1)
+			_, err := start(t, p)
+			require.ErrorIs(t, err, sched.ErrLost)
+			_, err = p.Stop(withTimeout(t, time.Second), member, sched.StopOrder{})
+			require.NoError(t, err, "the next order is dispatched")
+		})
+	})
+	t.Run("in the pool", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(1)
+			delete(f.dispatchers, f.addrs[0]) // The call of the nil dispatcher panics.
+			p := f.pool(testContext(t), 1)
+			_, err := start(t, p)
+			require.ErrorIs(t, err, sched.ErrLost)
+			_, err = start(t, p)
+			require.NoError(t, err, "the next order is sent directly")
+			require.Equal(t, 1, f.direct.starts)
+		})
+	})
+}
+
+// Guards against an order of an unknown kind that counts as carried out.
+func TestOrderOfNoKnownKind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := orders.NewDispatcher(&workers{})
+		batch := orders.Batch{Term: 1, Wait: time.Second, Orders: []orders.Order{{ID: 7, Timeout: time.Second}}}
+		got := d.Dispatch(t.Context(), batch).Results
+		require.Len(t, got, 1)
+		require.True(t, got[0].NotSent)
+	})
+}
+
 func withTimeout(t *testing.T, d time.Duration) context.Context {
 	ctx, cancel := context.WithTimeout(t.Context(), d)
 	t.Cleanup(cancel)
--- a/internal/orders/pool.go
+++ b/internal/orders/pool.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/mangoslip/mangoslip/internal/guard"
 	"github.com/mangoslip/mangoslip/pkg/sched"
 )
 
@@ -172,7 +173,11 @@
 	l.queue = append(l.queue, o)
 	if !l.running {
 		l.running = true
-		go p.run(l)
+		go func() {
+			if err := guard.Run(func() { p.run(l) }); err != nil {
+				p.pauseLink(l, err, false)
+			}
+		}()
 	}
 	l.mu.Unlock()
 	l.signal()
--- a/pkg/sched/workflow.go
+++ b/pkg/sched/workflow.go
@@ -1,6 +1,10 @@
 package sched
 
-import "time"
+import (
+	"errors"
+	"fmt"
+	"time"
+)
 
 // QueueName names a queue of jobs.
 type QueueName string
@@ -78,6 +82,51 @@
 	Interval time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
+// MaxWorkflowTasks bounds the tasks of a job in all its occurrences, so that one
+// job cannot exhaust the memory of an entry.
+const MaxWorkflowTasks = 100_000
+
+// Check returns an error if the job cannot be run as it is described. A step may
+// depend on earlier steps only, which rules out cycles.
+func (w *Workflow) Check() error {
+	if len(w.Steps) == 0 {
+		return errors.New("job has no steps")
+	}
+	if w.Repeat < 0 || w.Repeat > MaxWorkflowTasks {
+		return fmt.Errorf("repeat count %d is not between 0 and %d", w.Repeat, MaxWorkflowTasks)
+	}
+	total := 0
+	for i := range w.Steps {
+		if err := w.Steps[i].check(i); err != nil {
+			return fmt.Errorf("step %d: %w", i, err)
+		}
+		total += w.Steps[i].Count
+		if total*w.Occurrences() > MaxWorkflowTasks {
+			return fmt.Errorf("job has more than %d tasks in its %d occurrences", MaxWorkflowTasks, w.Occurrences())
+		}
+	}
+	return nil
+}
+
+// check checks the step at an index of its job.
+func (s *StepSpec) check(index int) error {
+	if s.Count < 0 || s.Count > MaxWorkflowTasks {
+		return fmt.Errorf("count %d is not between 0 and %d", s.Count, MaxWorkflowTasks)
+	}
+	if s.Resources.Negative() {
+		return fmt.Errorf("negative resources %s", s.Resources)
+	}
+	if s.Estimate < 0 || s.TailTarget < 0 || s.AntiAffinity < 0 || s.MaxUnavailable < 0 {
+		return errors.New("negative estimate, tail target or bound")
+	}
+	for _, a := range s.After {
+		if a < 0 || a >= index {
+			return fmt.Errorf("depends on step %d, which is not an earlier step", a)
+		}
+	}
+	return nil
+}
+
 // Occurrences returns the number of times that the steps run.
 func (w *Workflow) Occurrences() int { return max(w.Repeat, 1) }
 
