Let the concurrency limit rise again without load

Cause: the adaptive limit falls while answers are slow and rose only under load. After slow answers, as on a machine that is short of processor time, slots stayed out of use until the next load, which met the low limit first. Change: two seconds after its last fall the limit rises by its usual step in each window, until slow answers lower it again. TestGradientRecoversWithoutLoad and TestSlotsReturnAfterSlowAnswers fail before and pass after.

--- a/pkg/sched/limit/gradient.go
+++ b/pkg/sched/limit/gradient.go
@@ -27,6 +27,8 @@
 	// lower latency in one window. It is small because the mean of a few answers
 	// is often well below the true mean.
 	fallGain = 1.0 / 16
+	// staleAfter is how long after its last fall the limit rises without answers.
+	staleAfter = 2 * time.Second
 	// minShare is the share of the hard limit below which the limit never falls.
 	minShare = 0.1
 )
@@ -34,7 +36,8 @@
 // Gradient limits the concurrency of a service according to its latency, and
 // never above a hard limit. While the latency stays near its baseline, the limit
 // rises towards the hard limit by a share of its square root in each window. When
-// the latency rises above the tolerance, the limit falls in proportion.
+// the latency rises above the tolerance, the limit falls in proportion. Without
+// slow answers it rises again in time.
 type Gradient struct {
 	hardLimit   int
 	limit       float64
@@ -44,6 +47,9 @@
 	latencySum  float64
 	samples     int
 	windowStart time.Time
+	// fellAt is when the limit last fell, and raisedAt when it last rose without
+	// answers.
+	fellAt, raisedAt time.Time
 }
 
 var _ sched.Limiter = (*Gradient)(nil)
@@ -64,6 +70,17 @@
 	g.hardLimit = hard
 }
 
+// Tick raises the limit if it has not fallen for a while and is not in use.
+// Slow answers of an earlier load say nothing about the next one, and without
+// load there are no answers that would raise the limit.
+func (g *Gradient) Tick(now time.Time) {
+	if g.limit >= float64(g.hardLimit) || now.Sub(g.fellAt) < staleAfter || now.Sub(g.raisedAt) < window {
+		return
+	}
+	g.raisedAt = now
+	g.limit = min(g.limit+math.Sqrt(g.limit)*smoothing, float64(g.hardLimit))
+}
+
 // Limit returns the number of requests that may be in progress now.
 func (g *Gradient) Limit() int {
 	low := math.Ceil(minShare * float64(g.hardLimit))
@@ -99,14 +116,14 @@
 		g.windowStart = now
 	}
 	if now.Sub(g.windowStart) >= window && g.samples >= minSamples {
-		g.adapt()
+		g.adapt(now)
 		g.windowStart = now
 	}
 }
 
 // adapt updates the baseline and the limit from the mean latency of a window. It
 // raises the limit only if the requests in progress came close to it.
-func (g *Gradient) adapt() {
+func (g *Gradient) adapt(now time.Time) {
 	mean := g.latencySum / float64(g.samples)
 	busy := float64(g.peak) >= 0.8*g.limit
 	g.latencySum, g.samples, g.peak = 0, 0, g.inFlight
@@ -119,6 +136,9 @@
 		g.baseline += (mean - g.baseline) * riseGain
 	}
 	grad := min(max(tolerance*g.baseline/mean, 0.5), 1)
+	if grad < 1 {
+		g.fellAt = now
+	}
 	if grad == 1 && !busy {
 		return
 	}
--- a/pkg/sched/limit/limit_test.go
+++ b/pkg/sched/limit/limit_test.go
@@ -48,6 +48,27 @@
 	require.Zero(t, g.InFlight())
 }
 
+// Guards against slots that stay out of use after slow answers, because the limit
+// rises only under load, and against a limit that rises while answers are slow.
+func TestGradientRecoversWithoutLoad(t *testing.T) {
+	g := limit.NewGradient(100)
+	now := saturate(g, start, 50, 10*time.Millisecond)
+	now = saturate(g, now, 50, 100*time.Millisecond)
+	fallen := g.Limit()
+	require.Less(t, fallen, 50)
+	idle := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); now = now.Add(100 * time.Millisecond) {
+			g.Tick(now)
+		}
+	}
+	idle(time.Second)
+	require.Equal(t, fallen, g.Limit())
+	idle(10 * time.Second)
+	require.Equal(t, 100, g.Limit())
+	saturate(g, now, 50, 100*time.Millisecond)
+	require.Less(t, g.Limit(), 50, "the baseline is kept")
+}
+
 // Guards against fast refusals that count as samples of a low latency and so lower
 // the baseline.
 func TestGradientIgnoresRefusals(t *testing.T) {
--- a/pkg/sched/pool/commands.go
+++ b/pkg/sched/pool/commands.go
@@ -246,6 +246,7 @@
 	m.expireUntracked(now)
 	m.probe(now)
 	for _, s := range m.services {
+		s.limit.Tick(now)
 		demand := float64(s.limit.InFlight() + s.queue.Len())
 		s.peakDemand = max(s.peakDemand*decay, demand)
 		m.dispatch(now, s)
--- a/pkg/sched/pool/pool_test.go
+++ b/pkg/sched/pool/pool_test.go
@@ -539,6 +539,33 @@
 	require.Zero(t, f.Snapshot().Bodies)
 }
 
+// Guards against slots that are not offered any more after slow answers, although
+// no request runs.
+func TestSlotsReturnAfterSlowAnswers(t *testing.T) {
+	f := newFixture(8)
+	// answer fills the slots and answers after a latency.
+	answer := func(rounds int, latency time.Duration) {
+		for range rounds {
+			for range f.Free("Quote") {
+				f.acquire("Quote")
+			}
+			f.advance(latency)
+			for id := range f.granted {
+				delete(f.granted, id)
+				f.send(pool.ReleaseMsg{ID: id, Outcome: sched.Ran, Latency: latency})
+			}
+		}
+	}
+	answer(60, 100*time.Millisecond)
+	require.Equal(t, 16, f.Free("Quote"))
+	answer(20, 300*time.Millisecond)
+	require.Less(t, f.Free("Quote"), 16)
+	for range 100 {
+		f.advance(100 * time.Millisecond)
+	}
+	require.Equal(t, 16, f.Free("Quote"))
+}
+
 // Guards against allocations on each grant beyond those of its command.
 func TestGrantAllocations(t *testing.T) {
 	f := newFixture(50)
