Run the fault tests of package flow in parallel

Change: the subtests run in parallel. The 1,000 sequences of the property test are checked in five parts of 200, which differ by the emulator's seed and by the order of the faults. Events of the emulator are ordered by an integer.

--- a/internal/emul/emul.go
+++ b/internal/emul/emul.go
@@ -138,10 +138,10 @@
 	e.Fleet.Queues[q.Name] = q
 }
 
-// event is a function to call at a virtual time. Events at the same time run in
-// the order of seq.
+// event is a function to call at a virtual time, in nanoseconds since 1970. Events
+// at the same time run in the order of seq.
 type event struct {
-	at  time.Time
+	at  int64
 	seq uint64
 	do  func()
 }
@@ -150,8 +150,8 @@
 
 func (h eventHeap) Len() int { return len(h) }
 func (h eventHeap) Less(i, j int) bool {
-	if !h[i].at.Equal(h[j].at) {
-		return h[i].at.Before(h[j].at)
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
 	}
 	return h[i].seq < h[j].seq
 }
@@ -168,16 +168,13 @@
 // After schedules a call of f after d.
 func (e *Emulator) After(d time.Duration, f func()) {
 	e.seq++
-	heap.Push(&e.events, event{e.now.Add(d), e.seq, f})
+	heap.Push(&e.events, event{e.now.Add(d).UnixNano(), e.seq, f})
 }
 
 // RunFor advances virtual time by d and processes the events on the way.
 func (e *Emulator) RunFor(d time.Duration) {
 	until := e.now.Add(d)
-	for len(e.events) > 0 && !e.events[0].at.After(until) {
-		x := heap.Pop(&e.events).(event)
-		e.now = x.at
-		x.do()
+	for e.runNext(until) {
 	}
 	e.now = until
 }
@@ -187,17 +184,26 @@
 func (e *Emulator) RunUntil(d time.Duration, done func() bool) bool {
 	until := e.now.Add(d)
 	for !done() {
-		if len(e.events) == 0 || e.events[0].at.After(until) {
+		if !e.runNext(until) {
 			e.now = until
 			return done()
 		}
-		x := heap.Pop(&e.events).(event)
-		e.now = x.at
-		x.do()
 	}
 	return true
 }
 
+// runNext processes the next event. It returns false if there is none until the
+// given time.
+func (e *Emulator) runNext(until time.Time) bool {
+	if len(e.events) == 0 || e.events[0].at > until.UnixNano() {
+		return false
+	}
+	x := heap.Pop(&e.events).(event)
+	e.now = time.Unix(0, x.at)
+	x.do()
+	return true
+}
+
 // violate records the violation of a guarantee.
 func (e *Emulator) violate(format string, args ...any) {
 	e.Violations = append(e.Violations, fmt.Sprintf("%s: ", e.now.Format("05.000"))+fmt.Sprintf(format, args...))
--- a/pkg/sched/flow/available_test.go
+++ b/pkg/sched/flow/available_test.go
@@ -56,6 +56,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(6) {
 				e := emul.New(seed + 40)
 				e.AddWorkers(16, sched.Resources{CPU: 32000, Memory: 125 * gib})
--- a/pkg/sched/flow/fault_test.go
+++ b/pkg/sched/flow/fault_test.go
@@ -137,6 +137,7 @@
 func TestFaults(t *testing.T) {
 	for _, f := range faults() {
 		t.Run(f.name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(4) {
 				e := newScenario(seed+1, 24, 12*time.Second)
 				l := e.Lead()
@@ -156,6 +157,7 @@
 	all := faults()
 	for seed := range uint64(60) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			e := newScenario(seed+100, 16, 10*time.Second)
 			l := e.Lead()
 			for range 3 {
--- a/pkg/sched/flow/property_test.go
+++ b/pkg/sched/flow/property_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -12,11 +15,15 @@
 	"github.com/mangoslip/mangoslip/pkg/sched"
 )
 
+// propertyParts is the number of parts in which the sequences are checked, at the
+// same time.
+const propertyParts = 5
+
 // TestMain fixes the seed of rapid, so that every run checks the same 1,000
 // sequences.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	settings := map[string]string{"rapid.checks": "1000", "rapid.nofailfile": "true"}
+	settings := map[string]string{"rapid.checks": strconv.Itoa(1000 / propertyParts), "rapid.nofailfile": "true"}
 	if flag.Lookup("rapid.seed").Value.String() == "0" {
 		settings["rapid.seed"] = "20261204"
 	}
@@ -44,9 +51,23 @@
 // checks what workers and callers see. Once the faults are over, every job that
 // can end has to end.
 func TestAnySequenceOfFaults(t *testing.T) {
+	for part := range propertyParts {
+		t.Run(fmt.Sprint(part), func(t *testing.T) {
+			t.Parallel()
+			checkSequences(t, uint64(part))
+		})
+	}
+}
+
+// checkSequences checks one part of the sequences. All parts draw the same
+// numbers. The part changes the seed of the emulator, and which fault a number
+// stands for.
+func checkSequences(t *testing.T, part uint64) {
 	all := faults()
+	n := int(part) * len(all) / propertyParts
+	all = slices.Concat(all[n:], all[:n])
 	rapid.Check(t, func(t *rapid.T) {
-		e := smallScenario(rapid.Uint64Range(1, 1<<32).Draw(t, "seed"))
+		e := smallScenario(rapid.Uint64Range(1, 1<<32).Draw(t, "seed") + part<<32)
 		l := e.Lead()
 		for range rapid.IntRange(1, 4).Draw(t, "faults") {
 			f := rapid.SampledFrom(all).Draw(t, "fault")
