Keep the runs of workers that answer slowly, and correct late throttle orders

Cause: (a) a worker whose answers took longer than the timeout counted as silent. Its leases were not renewed although it got each renewal, so its runs ended and started elsewhere. (b) A throttle order whose answer was lost may be carried out seconds later, after a newer one; the worker then kept another speed limit than it had confirmed, a run stayed paused or ran on beside a latency-critical task. (c) A perpetual best-effort run always counted as nearly done and was not throttled while its target was met. Change: (a) renewals to a worker that missed a timeout wait up to 1.2 s for the answer; a worker that answers late gets no new runs and keeps those that it has, unless most workers are late, when the leader is the cause. (b) The processors that a best-effort run uses are compared with its speed limit, and the order is sent again if they do not match. (c) Perpetual runs never count as nearly done.

--- a/internal/emul/execute.go
+++ b/internal/emul/execute.go
@@ -173,6 +173,8 @@
 		rr := sched.RunReport{Run: r.ID, Percent: r.percentDone()}
 		if r.spec.LatencyCritical() {
 			rr.Percent, rr.Load = 100, w.e.tailLatency(w, r, runs)
+		} else if !w.Hang {
+			rr.Load = r.speed * float64(r.spec.Resources.CPU)
 		}
 		rep.Running = append(rep.Running, rr)
 	}
--- a/internal/emul/orders.go
+++ b/internal/emul/orders.go
@@ -7,23 +7,29 @@
 	"github.com/mangoslip/mangoslip/pkg/sched/flow"
 )
 
-// orderTimeout is how long a leader waits for the answer to a call, not counting
-// the wait that the order of a lease renewal contains.
+// orderTimeout is how long a leader waits for the answer to an order other than a
+// lease renewal.
 const orderTimeout = 300 * time.Millisecond
 
 // deliver sends an order to a worker, with the emulated delays and losses.
 // execute runs on the worker; it calls answer with the function that delivers
-// the reply to the leader. fail delivers a failure to the leader.
-func (l *Leader) deliver(name sched.WorkerName, execute func(w *Worker, answer func(func())), fail func(error)) {
+// the reply to the leader. If no reply has arrived after timeout, fail delivers
+// the failure to the leader.
+func (l *Leader) deliver(name sched.WorkerName, timeout time.Duration, execute func(w *Worker, answer func(func())), fail func(error)) {
 	e := l.e
+	answered := false
+	e.After(timeout, func() {
+		if !answered {
+			answered = true
+			fail(sched.ErrLost)
+		}
+	})
 	w := e.byName[name]
 	if w == nil || !w.up || l.cut[w] {
-		e.After(orderTimeout, func() { fail(sched.ErrLost) })
 		return
 	}
 	e.After(e.Delay, func() {
 		if !w.up {
-			e.After(orderTimeout, func() { fail(sched.ErrLost) })
 			return
 		}
 		lost := e.Rand.Float64() < e.LoseAnswers
@@ -34,14 +40,17 @@
 				return
 			}
 			execute(w, func(reply func()) {
-				if !lost && !late && !l.cut[w] {
-					e.After(e.Delay, reply)
+				if lost || late || l.cut[w] {
+					return
 				}
+				e.After(e.Delay+w.AnswerDelay, func() {
+					if !answered {
+						answered = true
+						reply()
+					}
+				})
 			})
 		}
-		if lost || late {
-			e.After(orderTimeout, func() { fail(sched.ErrLost) })
-		}
 		if late {
 			e.After(minLateness+time.Duration(e.Rand.Int64N(int64(latenessRange))), run)
 			return
@@ -59,7 +68,7 @@
 func (l *Leader) start(cmd flow.StartCmd) {
 	l.e.Counts["Starts"]++
 	sent, name := l.e.now, cmd.Member.Worker
-	l.deliver(name, func(w *Worker, answer func(func())) {
+	l.deliver(name, orderTimeout, func(w *Worker, answer func(func())) {
 		reply := w.Start(cmd.Order)
 		answer(func() {
 			l.post(flow.StartResultMsg{Result: result(name, sent, nil), Run: cmd.Order.Run, Reply: reply})
@@ -72,7 +81,7 @@
 func (l *Leader) stop(cmd flow.StopCmd) {
 	l.e.Counts["Stops"]++
 	sent, name := l.e.now, cmd.Member.Worker
-	l.deliver(name, func(w *Worker, answer func(func())) {
+	l.deliver(name, orderTimeout, func(w *Worker, answer func(func())) {
 		reply := w.Stop(cmd.Order)
 		answer(func() {
 			l.post(flow.StopResultMsg{Result: result(name, sent, nil), Run: cmd.Order.Run, Reply: reply})
@@ -85,7 +94,7 @@
 func (l *Leader) throttle(cmd flow.ThrottleCmd) {
 	l.e.Counts["Paces"]++
 	sent, name := l.e.now, cmd.Member.Worker
-	l.deliver(name, func(w *Worker, answer func(func())) {
+	l.deliver(name, orderTimeout, func(w *Worker, answer func(func())) {
 		reply := w.Throttle(cmd.Order)
 		answer(func() {
 			l.post(flow.ThrottleResultMsg{
@@ -100,26 +109,13 @@
 func (l *Leader) renewLease(cmd flow.RenewCmd) {
 	l.e.Counts["Holds"]++
 	sent, name := l.e.now, cmd.Member.Worker
-	answered := false
-	l.deliver(name, func(w *Worker, answer func(func())) {
+	l.deliver(name, cmd.Order.Wait+cmd.Timeout, func(w *Worker, answer func(func())) {
 		w.RenewLease(cmd.Order, func(rep sched.RenewReport) {
 			answer(func() {
-				if !answered {
-					answered = true
-					l.post(flow.RenewResultMsg{Result: result(name, sent, nil), Seq: cmd.Seq, Report: rep})
-				}
+				l.post(flow.RenewResultMsg{Result: result(name, sent, nil), Seq: cmd.Seq, Report: rep})
 			})
 		})
 	}, func(err error) {
-		if !answered {
-			answered = true
-			l.post(flow.RenewResultMsg{Result: result(name, sent, err), Seq: cmd.Seq})
-		}
-	})
-	l.e.After(cmd.Order.Wait+orderTimeout, func() {
-		if !answered {
-			answered = true
-			l.post(flow.RenewResultMsg{Result: result(name, sent, sched.ErrLost), Seq: cmd.Seq})
-		}
+		l.post(flow.RenewResultMsg{Result: result(name, sent, err), Seq: cmd.Seq})
 	})
 }
--- a/internal/emul/repeat_test.go
+++ b/internal/emul/repeat_test.go
@@ -21,7 +21,7 @@
 	classes := emul.Colocated(1)
 	e.SubmitPerpetual(classes, 6)
 	for _, c := range classes {
-		e.Load(c, 4*time.Second)
+		e.Load(c, 5*time.Second)
 	}
 	first := e.Lead()
 	first.KeepEvents = true
@@ -36,7 +36,7 @@
 	e.RunFor(7 * time.Second)
 	second := e.Lead()
 	second.KeepEvents = true
-	e.RunFor(5 * time.Second)
+	e.RunFor(8 * time.Second)
 	var b strings.Builder
 	for _, l := range []*emul.Leader{first, second} {
 		for _, x := range l.Events {
--- a/internal/emul/worker.go
+++ b/internal/emul/worker.go
@@ -45,6 +45,8 @@
 	// TailFactor is the factor by which all tail latencies on the worker are
 	// higher, for a reason that the scheduler cannot see. 0 counts as 1.
 	TailFactor float64
+	// AnswerDelay is how long the worker's answers take in addition.
+	AnswerDelay time.Duration
 	// RefuseStarts means that the worker answers every start with
 	// [sched.OrderNoCapacity] although it reports free capacity.
 	RefuseStarts bool
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -63,11 +63,9 @@
 	// outageGrace is the additional delay before a campaign after an outage of
 	// the store, so that the previous leader can write the leader's key again.
 	outageGrace = 600 * time.Millisecond
-	// orderTimeout is the timeout of an order while answers are quick, and
-	// renewalTimeout that of a worker's lease renewal, which is extended by the
-	// time that the worker may wait for the end of a run.
-	orderTimeout   = 300 * time.Millisecond
-	renewalTimeout = 400 * time.Millisecond
+	// orderTimeout is the timeout of an order while answers are quick. The state
+	// machine sets that of a worker's lease renewal.
+	orderTimeout = 300 * time.Millisecond
 	// maxDirectOrders bounds the orders in flight that the leader sends itself,
 	// and maxDispatchedOrders those that it sends through dispatchers on other
 	// entries.
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -313,7 +313,7 @@
 
 func (t *term) renewWorkerLease(cmd flow.RenewCmd) {
 	var report sched.RenewReport
-	sent, err := t.sendOrder(renewalTimeout, cmd.Order.Wait, func(ctx context.Context) (err error) {
+	sent, err := t.sendOrder(cmd.Timeout, cmd.Order.Wait, func(ctx context.Context) (err error) {
 		report, err = t.orders.Renew(ctx, cmd.Member, cmd.Order)
 		return err
 	})
@@ -337,10 +337,17 @@
 	t.post(msg)
 }
 
+// maxUsualTimeout is the longest timeout, while answers are quick, of an order to a
+// worker that answers like the others.
+const maxUsualTimeout = 400 * time.Millisecond
+
 // sendOrder sends an order and adapts the timeouts to its outcome. minimum is the
-// timeout while answers are quick, and wait is added to the timeout. It returns
-// the time at which the order was sent.
+// timeout while answers are quick, and wait is added to the timeout. A minimum
+// above maxUsualTimeout is for a worker that is slower than the others; its
+// answers do not lengthen their timeouts. sendOrder returns the time at which the
+// order was sent.
 func (t *term) sendOrder(minimum, wait time.Duration, send func(context.Context) error) (time.Time, error) {
+	usual := t.timeouts.timeout(min(minimum, maxUsualTimeout))
 	timeout := t.timeouts.timeout(minimum)
 	ctx, cancel := context.WithTimeout(t.ctx, timeout+wait)
 	defer cancel()
@@ -348,13 +355,14 @@
 	err := send(ctx)
 	took := t.l.now().Sub(sent)
 	switch {
+	case err == nil && wait == 0 && took > usual:
 	case err == nil && wait == 0:
 		t.timeouts.recordAnswer(took)
 	case err == nil:
 		t.timeouts.resetMisses()
 	case errors.Is(err, context.DeadlineExceeded):
 		t.l.stats.Count("OrdersUnanswered", 1)
-		t.timeouts.recordMiss(timeout, max(took-timeout-wait, 0))
+		t.timeouts.recordMiss(usual, max(took-timeout-wait, 0))
 	}
 	return sent, err
 }
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -110,6 +110,8 @@
 	confirmedAt    time.Time
 	mayIssueOrders bool
 	permissionAt   time.Time
+	// mostAreSlow means that most workers answer late or not at all.
+	mostAreSlow bool
 }
 
 var _ sched.Machine = (*Machine)(nil)
@@ -192,6 +194,7 @@
 // tick does the work that depends only on the passage of time.
 func (m *Machine) tick() {
 	m.updateMayIssueOrders()
+	m.updateMostAreSlow()
 	m.endRecovery()
 	m.openDueOccurrences()
 	for _, w := range m.order {
--- a/pkg/sched/flow/interference.go
+++ b/pkg/sched/flow/interference.go
@@ -313,7 +313,7 @@
 // tailRatio returns the tail latency of a latency-critical task relative to its
 // target.
 func (r *run) tailRatio() float64 {
-	return r.tailMillis / max(float64(r.task.step.spec.TailTarget.Milliseconds()), 1)
+	return r.load / max(float64(r.task.step.spec.TailTarget.Milliseconds()), 1)
 }
 
 // criticalImages returns the images of the latency-critical tasks on a worker.
--- a/pkg/sched/flow/messages.go
+++ b/pkg/sched/flow/messages.go
@@ -60,11 +60,13 @@
 }
 
 // RenewCmd renews the leases of a worker and asks for its report. The runner
-// answers with a RenewResultMsg that carries the same Seq.
+// answers with a RenewResultMsg that carries the same Seq. Timeout is how long the
+// answer may take in addition to the wait in the order; the runner may wait longer.
 type RenewCmd struct {
-	Member sched.Member
-	Order  sched.RenewOrder
-	Seq    uint64
+	Member  sched.Member
+	Order   sched.RenewOrder
+	Seq     uint64
+	Timeout time.Duration
 }
 
 // Result is the outcome of a call to a worker.
--- a/pkg/sched/flow/renewal.go
+++ b/pkg/sched/flow/renewal.go
@@ -27,6 +27,14 @@
 	// recorded. The worker answers such a renewal at once because it has an
 	// unacknowledged end to report.
 	unrecordedRenewPause = 400 * time.Millisecond
+	// answerTimeout is how long an answer to a renewal may take, without its wait.
+	// slowAnswerTimeout applies to a worker that did not answer in that time. Its
+	// leases are renewed only if its answers arrive, so a worker that is slow to
+	// report would otherwise lose its runs.
+	answerTimeout     = 400 * time.Millisecond
+	slowAnswerTimeout = 1200 * time.Millisecond
+	// slowRenewPause is the pause between renewals of a worker that answers slowly.
+	slowRenewPause = 400 * time.Millisecond
 	// maxEndsPerReport is the most ends that one report lists.
 	maxEndsPerReport = 500
 )
@@ -75,7 +83,7 @@
 		}
 	case w.renewal.more:
 		m.sendRenewal(w, 0)
-	case w.suspected && (len(w.runs) > 0 || w.listed):
+	case (w.suspected || w.slow) && (len(w.runs) > 0 || w.listed):
 		m.sendRenewal(w, 0)
 	case len(w.runs) > 0:
 		m.sendRenewal(w, m.renewWaitFor(w))
@@ -114,7 +122,50 @@
 	if w.hasClock && w.answered && !w.unresponsive(m.now) && m.mayIssueOrders {
 		o.HasDeadline, o.Deadline = true, w.extendDeadline(m.now, m.lease)
 	}
-	m.emit(RenewCmd{Member: w.member, Order: o, Seq: w.renewal.seq})
+	timeout := answerTimeout
+	if (w.suspected || w.slow) && !m.mostAreSlow {
+		timeout = slowAnswerTimeout
+	}
+	m.emit(RenewCmd{Member: w.member, Order: o, Seq: w.renewal.seq, Timeout: timeout})
+}
+
+// noteAnswerTime records whether a worker answers slowly. Only an answer to a
+// renewal without a wait tells.
+func (m *Machine) noteAnswerTime(w *worker, took time.Duration) {
+	if w.renewal.waits {
+		return
+	}
+	slow := took > answerTimeout && (w.slow || w.suspected) && !m.mostAreSlow
+	if slow != w.slow {
+		m.log("worker answers slowly", "worker", w.name(), "slow", slow, "took", took, "runs", len(w.runs))
+		m.stale = true
+	}
+	w.slow = slow
+	if slow {
+		w.renewal.notBefore = m.now.Add(slowRenewPause)
+	}
+}
+
+// updateMostAreSlow records whether most workers answer late or not at all. Then
+// the leader or its network is the cause: the runner adapts the timeouts, and no
+// worker is treated as slow.
+func (m *Machine) updateMostAreSlow() {
+	late, listed := 0, 0
+	for _, w := range m.order {
+		if w.listed {
+			listed++
+		}
+		if w.listed && (w.suspected || w.slow) {
+			late++
+		}
+	}
+	m.mostAreSlow = 2*late > listed
+	if !m.mostAreSlow {
+		return
+	}
+	for _, w := range m.order {
+		w.slow = false
+	}
 }
 
 // repeatStops sends a stop again if it was not answered or if its run still
@@ -189,6 +240,7 @@
 		return
 	}
 	wasSuspected := w.suspected
+	m.noteAnswerTime(w, m.now.Sub(msg.Sent))
 	if rep.Born > w.member.Born {
 		m.newIncarnation(w, rep.Born, "report")
 	}
@@ -299,7 +351,7 @@
 	if rep.Percent != r.percent || rep.Saved != r.checkpoint {
 		r.progressedAt = m.now
 	}
-	r.checkpoint, r.percent, r.tailMillis, r.reportedAt = rep.Saved, rep.Percent, rep.Load, m.now
+	r.checkpoint, r.percent, r.load, r.reportedAt = rep.Saved, rep.Percent, rep.Load, m.now
 	if r.knownAt.IsZero() {
 		r.knownAt = m.now
 	}
@@ -307,6 +359,7 @@
 	if r.state == runStarting {
 		r.state = runRunning
 	}
+	m.checkThrottle(r)
 }
 
 // adopt continues a run that the worker reports but this machine does not
--- a/pkg/sched/flow/run.go
+++ b/pkg/sched/flow/run.go
@@ -50,10 +50,10 @@
 	// last confirmed a higher speed limit.
 	progressedAt time.Time
 	reportedAt   time.Time
-	// tailMillis is the reported tail latency in milliseconds of a
-	// latency-critical run.
-	tailMillis float64
-	throttle   throttle
+	// load is the reported tail latency in milliseconds of a latency-critical run,
+	// and the processors in use, in thousandths, of any other.
+	load     float64
+	throttle throttle
 	// firstPercent is the progress in the first report, which arrived at
 	// firstReportAt.
 	firstPercent  int
--- a/pkg/sched/flow/single_test.go
+++ b/pkg/sched/flow/single_test.go
@@ -15,8 +15,12 @@
 type leaderOfOne struct {
 	m   *flow.Machine
 	now time.Time
-	// waiting is the renewal that waits for the end of a run.
-	waiting flow.RenewCmd
+	// waiting is the renewal that waits for the end of a run, and throttles holds
+	// the throttle orders.
+	waiting   flow.RenewCmd
+	throttles []sched.ThrottleOrder
+	// runs holds the runs that were started with start.
+	runs []sched.Run
 }
 
 func newLeaderOfOne() *leaderOfOne {
@@ -41,6 +45,8 @@
 		switch c := c.(type) {
 		case flow.StartCmd:
 			starts = append(starts, c)
+		case flow.ThrottleCmd:
+			l.throttles = append(l.throttles, c.Order)
 		case flow.RenewCmd:
 			if c.Order.HasDeadline {
 				extended = append(extended, c)
@@ -114,3 +120,71 @@
 	starts, _ = l.update(sched.TickMsg{})
 	require.NotEmpty(t, starts, "a complete report shows that the run is gone")
 }
+
+// Guards against a run at another speed than was ordered, because an earlier
+// throttle order was carried out seconds late, after the one that followed it.
+func TestLateThrottleOrderIsCorrected(t *testing.T) {
+	critical := sched.StepSpec{Count: 1, Resources: sched.Resources{CPU: 2000}, Perpetual: true, Image: "serve", TailTarget: 20 * time.Millisecond}
+	bestEffort := sched.StepSpec{Count: 1, Resources: sched.Resources{CPU: 4000}, Perpetual: true, Image: "fill", BestEffort: true}
+	t.Run("a paused run uses the processor", func(t *testing.T) {
+		l := newLeaderOfOne()
+		l.start(t, critical)
+		l.start(t, bestEffort)
+		require.Empty(t, l.throttlesAfter(10, 4000))
+		for range 4 {
+			for _, o := range l.throttlesAfter(200, 4000) {
+				require.Zero(t, o.Percent)
+				l.throttled(o)
+			}
+		}
+		require.Empty(t, l.throttlesAfter(18, 0), "the run is paused, as ordered")
+		corrected := l.throttlesAfter(18, 4000)
+		require.Len(t, corrected, 1)
+		require.Zero(t, corrected[0].Percent)
+		l.throttled(corrected[0])
+		require.Empty(t, l.throttlesAfter(18, 0))
+	})
+	t.Run("a run with full speed is paused", func(t *testing.T) {
+		l := newLeaderOfOne()
+		l.start(t, bestEffort)
+		require.Empty(t, l.throttlesAfter(4000))
+		require.Empty(t, l.throttlesAfter(900), "other tasks use the rest of the worker")
+		corrected := l.throttlesAfter(0)
+		require.Len(t, corrected, 1)
+		require.Equal(t, 100, corrected[0].Percent)
+	})
+}
+
+// start submits a job of one step with one task, and lets the worker accept its
+// start.
+func (l *leaderOfOne) start(t *testing.T, step sched.StepSpec) {
+	t.Helper()
+	l.now = l.now.Add(100 * time.Millisecond)
+	starts, _ := l.update(flow.JobMsg{Accepted: l.now.UnixMilli(), Job: &sched.Workflow{
+		ID: sched.JobID(step.Image), Queue: "Q", Steps: []sched.StepSpec{step},
+	}})
+	require.Len(t, starts, 1)
+	run := starts[0].Order.Run
+	l.runs = append(l.runs, run)
+	l.update(flow.StartResultMsg{Result: flow.Result{Worker: "w", Sent: l.now}, Run: run, Reply: sched.OrderReply{HasClock: true}})
+}
+
+// throttlesAfter reports the loads of the runs, in the order of their starts, and
+// returns the throttle orders that follow.
+func (l *leaderOfOne) throttlesAfter(loads ...float64) []sched.ThrottleOrder {
+	l.throttles = nil
+	l.now = l.now.Add(time.Second)
+	l.update(flow.ConfirmedMsg{Asked: l.now})
+	l.update(sched.TickMsg{})
+	var rep sched.RenewReport
+	for i, load := range loads {
+		rep.Running = append(rep.Running, sched.RunReport{Run: l.runs[i], Percent: 100, Load: load})
+	}
+	l.report(rep)
+	return l.throttles
+}
+
+// throttled confirms a throttle order.
+func (l *leaderOfOne) throttled(o sched.ThrottleOrder) {
+	l.update(flow.ThrottleResultMsg{Result: flow.Result{Worker: "w", Sent: l.now}, Run: o.Run, Percent: o.Percent})
+}
--- a/pkg/sched/flow/throttle.go
+++ b/pkg/sched/flow/throttle.go
@@ -169,7 +169,8 @@
 
 // speedFor returns the speed limit of a best-effort run on a worker.
 func (m *Machine) speedFor(w *worker, r *run) int {
-	if m.remaining(r) < nearlyDoneWithin && (w.missedSince.IsZero() || m.now.Sub(w.missedSince) < nearlyDoneMaxMiss) {
+	nearlyDone := !r.task.step.spec.Perpetual && m.remaining(r) < nearlyDoneWithin
+	if nearlyDone && (w.missedSince.IsZero() || m.now.Sub(w.missedSince) < nearlyDoneMaxMiss) {
 		return fullSpeed
 	}
 	risk := m.risk(w, r.task.step.spec.Image)
@@ -227,6 +228,38 @@
 	m.emit(ThrottleCmd{Member: r.worker.member, Order: sched.ThrottleOrder{Run: r.id(), Percent: r.throttle.want, Fence: m.term}})
 }
 
+const (
+	// maxExcessUse is by how much the share of its processors that a throttled run
+	// uses may exceed its speed limit. The reported figure is rough.
+	maxExcessUse = 0.3
+	// idleUse is the share of its processors below which a run at idleFrom percent
+	// or more is taken to be paused.
+	idleUse  = 0.05
+	idleFrom = 50
+	// throttleSettleTime is how long after a change of the speed limit a report
+	// shows its effect.
+	throttleSettleTime = 900 * time.Millisecond
+)
+
+// checkThrottle compares the processors that a best-effort run uses with its speed
+// limit. An order whose answer was lost may be carried out seconds later, after a
+// newer one, and then the worker has another limit than it last confirmed.
+func (m *Machine) checkThrottle(r *run) {
+	cpu := float64(r.task.step.spec.Resources.CPU)
+	if !r.bestEffort() || cpu == 0 || r.throttle.inCall || r.throttle.have == throttleUnknown ||
+		m.now.Sub(r.throttle.sent) < throttleSettleTime || m.now.Sub(r.knownAt) < throttleSettleTime {
+		return
+	}
+	use := r.load / cpu
+	limit := float64(r.throttle.have) / fullSpeed
+	if use <= limit+maxExcessUse && (r.throttle.have < idleFrom || use >= idleUse) {
+		return
+	}
+	m.log("run does not keep its throttle", "id", r.task.job().spec.ID, "task", r.task.name(), "run", r.number,
+		"worker", r.worker.name(), "percent", r.throttle.have, "use", use)
+	r.throttle.have = throttleUnknown
+}
+
 // handleThrottleResult handles the answer to a change of the speed limit.
 func (m *Machine) handleThrottleResult(msg ThrottleResultMsg) {
 	w := m.workers[msg.Worker]
--- a/pkg/sched/flow/worker.go
+++ b/pkg/sched/flow/worker.go
@@ -57,6 +57,8 @@
 	// last call was not answered.
 	unansweredSince time.Time
 	suspected       bool
+	// slow means that the worker answers, but not within the usual timeout.
+	slow bool
 
 	renewal renewalState
 	// processed is the sequence number of the last run end that was applied,
@@ -210,7 +212,7 @@
 
 // usable reports whether new runs may be placed on the worker.
 func (m *Machine) usable(w *worker) bool {
-	return w.listed && w.rostered && w.answered && w.hasClock && !w.replaced && !w.suspected &&
+	return w.listed && w.rostered && w.answered && w.hasClock && !w.replaced && !w.suspected && !w.slow &&
 		!w.member.Draining && !m.now.Before(w.fullUntil)
 }
 
@@ -277,7 +279,7 @@
 		"runs", len(w.runs))
 	w.member.Born = incarnation
 	w.processed, w.durable, w.acknowledged, w.pending = 0, 0, 0, nil
-	w.hasClock, w.clock, w.answered, w.replaced = false, 0, false, false
+	w.hasClock, w.clock, w.answered, w.replaced, w.slow = false, 0, false, false, false
 	w.renewal.continuous = false
 	w.quarantine = quarantine{}
 }
