--- a/internal/emul/worker.go
+++ b/internal/emul/worker.go
@@ -101,6 +101,9 @@
 	w.dropRuns()
 }
 
+// Unlist removes the worker from the register, although it still answers.
+func (w *Worker) Unlist() { w.listed = false }
+
 // Drain makes the worker report that it is draining and removes it after the
 // given time.
 func (w *Worker) Drain(after time.Duration) {
--- a/internal/leader/elect.go
+++ b/internal/leader/elect.go
@@ -34,7 +34,7 @@
 			outage = l.watchLeader(ctx, items[0], version)
 			continue
 		}
-		if !outage {
+		if !outage && ctx.Err() == nil {
 			l.log.Warn("store lost", "step", "read leader", "error", err)
 		}
 		outage = true
@@ -53,6 +53,8 @@
 		case errors.Is(err, sched.ErrCompacted):
 			pause(ctx, retryPause)
 			return false
+		case err != nil && ctx.Err() != nil:
+			return false // The entry stops and has ended its own watch.
 		case err != nil:
 			l.log.Warn("store lost", "step", "watch leader", "error", err)
 			pause(ctx, retryPause)
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net/netip"
 	"strings"
 	"sync"
@@ -169,13 +170,35 @@
 	workers *workers
 	adviser *adviser
 	entries []*entry
-	// panics is how many more calls of decodeMembers and of the wall clock panic.
+	// log holds what the entries logged.
+	log logBuffer
+	// decodePanics and clockPanics are how many more calls of decodeMembers and of
+	// the wall clock panic.
 	decodePanics, clockPanics atomic.Int64
 	// suspended is the time for which the entries were suspended, in
 	// nanoseconds. [time.Now] does not include it.
 	suspended atomic.Int64
 }
 
+// logBuffer collects log lines. It is safe for concurrent use.
+type logBuffer struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+// Write implements io.Writer.
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
 // now returns the time including suspensions.
 func (c *cluster) now() time.Time { return time.Now().Add(time.Duration(c.suspended.Load())) }
 
@@ -221,7 +244,7 @@
 	l := leader.New(leader.Settings{
 		Name: sched.EntryName(name), Processors: processors, MembersPrefix: membersPrefix, DecodeMembers: c.decodeMembers,
 		MachineOptions: []flow.Option{flow.WithWallClock(c.wallMillis)},
-	}, client, c.workers, leader.WithAdviser(c.adviser), leader.WithClock(c.now), leader.WithReachable(c.reachable), leader.WithAnnouncer(func(v layout.Leader) {
+	}, client, c.workers, leader.WithAdviser(c.adviser), leader.WithClock(c.now), leader.WithLogger(slog.New(slog.NewTextHandler(&c.log, nil))), leader.WithReachable(c.reachable), leader.WithAnnouncer(func(v layout.Leader) {
 		for _, e := range c.entries {
 			if e.Current().Name != v.Name {
 				go e.ObserveLeader(v)
@@ -386,6 +409,26 @@
 	})
 }
 
+// Guards against a cancelled job that a new leader runs again.
+func TestCancelledJobStaysCancelled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, 20*time.Second)
+		defer c.stopAll()
+		time.Sleep(time.Second)
+		c.submit("1")
+		time.Sleep(time.Second)
+		c.store.Put(layout.CancelKey("1"), layout.Encode(1))
+		time.Sleep(time.Second)
+		require.Equal(t, sched.JobCancelled, c.state("1"))
+		first := len(c.workers.started)
+		c.leading()[0].stop()
+		time.Sleep(4 * time.Second)
+		require.Len(t, c.leading(), 1)
+		require.Equal(t, sched.JobCancelled, c.state("1"))
+		require.Len(t, c.workers.started, first)
+	})
+}
+
 // Guards against a leader that continues beside its successor after its key was
 // removed. No call of the old leader fails because of the removal.
 func TestKeyIsTakenAway(t *testing.T) {
@@ -459,6 +502,18 @@
 	})
 }
 
+// Guards against an entry that stops and logs that it lost the store, which would
+// mislead whoever looks for an outage.
+func TestStopLosesNoStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, time.Second)
+		time.Sleep(2 * time.Second)
+		c.stopAll()
+		require.Contains(t, c.log.String(), "term begins")
+		require.NotContains(t, c.log.String(), "store lost")
+	})
+}
+
 // Guards against a process that ends because a loop of its leader panics, and
 // against an entry that does not lead any more afterwards.
 func TestPanicEndsTheTermOnly(t *testing.T) {
--- a/pkg/sched/flow/recover_test.go
+++ b/pkg/sched/flow/recover_test.go
@@ -117,3 +117,26 @@
 	}
 	b.ReportMetric(float64(worst.Milliseconds()), "ms/worst")
 }
+
+// Guards against a new leader that starts runs on workers of the roster that have
+// left the register, or that are draining although the roster does not say so.
+func TestNewLeaderUsesNoWorkerThatLeft(t *testing.T) {
+	e := emul.New(23)
+	e.AddWorkers(8, sched.Resources{CPU: 32000, Memory: 125 * gib})
+	e.AddQueue(sched.Queue{Name: "Q", MaxAttempts: 3})
+	l := e.Lead()
+	e.RunFor(time.Second)
+	l.Kill()
+	left, draining := e.Workers[0], e.Workers[1]
+	left.Unlist()
+	draining.Drain(time.Minute)
+	e.RunFor(1500 * time.Millisecond)
+	e.Lead()
+	step := sched.StepSpec{Count: 64, Resources: sched.Resources{CPU: 4000, Memory: gib}, Estimate: 2 * time.Second}
+	e.Submit(&sched.Workflow{ID: "job", Queue: "Q", Steps: []sched.StepSpec{step}}, emul.Work{Duration: 2 * time.Second})
+	e.RunFor(time.Second)
+	require.Equal(t, 48, e.Running(), "the other workers are full")
+	require.Zero(t, left.Running())
+	require.Zero(t, draining.Running())
+	requireNoViolations(t, e)
+}
