Log how long a cancellation took to reach the leader

The leader now logs "cancellation takes effect" with the time since the cancellation was recorded. No decision changes.

--- a/internal/emul/emul.go
+++ b/internal/emul/emul.go
@@ -228,7 +228,7 @@
 func (e *Emulator) Cancel(j *Job) {
 	j.Cancelled = e.now
 	for _, l := range e.leaders {
-		l.deliverChange(flow.CancelMsg{Job: j.Spec.ID})
+		l.deliverChange(flow.CancelMsg{Job: j.Spec.ID, Recorded: j.Cancelled.UnixMilli()})
 	}
 }
 
--- a/internal/emul/store.go
+++ b/internal/emul/store.go
@@ -156,7 +156,7 @@
 			Progress: p.Value, Version: p.Version,
 		})
 		if !j.Cancelled.IsZero() {
-			l.post(flow.CancelMsg{Job: j.Spec.ID})
+			l.post(flow.CancelMsg{Job: j.Spec.ID, Recorded: j.Cancelled.UnixMilli()})
 		}
 	}
 	takeover := flow.TakeoverMsg{Version: s.items[flow.KeyRoster].Version}
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -68,7 +68,7 @@
 		return
 	}
 	if id, ok := layout.CancelledJobFromKey(c.Key); ok {
-		t.post(flow.CancelMsg{Job: id})
+		t.post(flow.CancelMsg{Job: id, Recorded: t.recordedAt(c)})
 		return
 	}
 	id, ok := layout.JobIDFromKey(c.Key)
@@ -94,6 +94,16 @@
 	})
 }
 
+// recordedAt returns when a cancellation was recorded, as Unix time in
+// milliseconds. The time is used for logs only; it is 0 if it cannot be decoded.
+func (t *term) recordedAt(c sched.Change) int64 {
+	var recorded int64
+	if err := layout.Decode(c.Value, &recorded); err != nil {
+		t.l.log.Warn("time of a cancellation is damaged", "key", c.Key, "version", c.Version, "error", err)
+	}
+	return recorded
+}
+
 var (
 	errOtherJob   = errors.New("the record is that of another job")
 	errSuspectJob = errors.New("the state machine panicked repeatedly when it got the job")
--- a/pkg/sched/flow/accept.go
+++ b/pkg/sched/flow/accept.go
@@ -31,8 +31,8 @@
 	m.log("job added", "id", id, "queue", j.queue, "steps", len(j.spec.Steps),
 		"age", m.now.Sub(j.acceptedAt), "inherited", j.inherited, "version", j.version)
 	m.live = append(m.live, j)
-	if m.cancels[id] {
-		m.cancelJob(id)
+	if recorded, cancelled := m.cancels[id]; cancelled {
+		m.cancelJob(id, recorded)
 		return
 	}
 	if j.spec.Repeat > 0 {
--- a/pkg/sched/flow/finish.go
+++ b/pkg/sched/flow/finish.go
@@ -1,6 +1,8 @@
 package flow
 
 import (
+	"time"
+
 	"github.com/mangoslip/mangoslip/pkg/sched"
 )
 
@@ -91,16 +93,18 @@
 }
 
 // cancelJob cancels a job that has not ended. A cancellation of an unknown job
-// is kept until the job arrives.
-func (m *Machine) cancelJob(id sched.JobID) {
+// is kept until the job arrives. recorded is as in [CancelMsg].
+func (m *Machine) cancelJob(id sched.JobID, recorded int64) {
 	j := m.jobs[id]
 	if j == nil {
-		m.cancels[id] = true
+		m.cancels[id] = recorded
 		return
 	}
-	if !j.state.Final() {
-		m.endJob(j, sched.JobCancelled, "cancelled by its owner")
+	if j.state.Final() {
+		return
 	}
+	m.log("cancellation takes effect", "id", id, "delay", time.Duration(m.wallMillis(m.now)-recorded)*time.Millisecond)
+	m.endJob(j, sched.JobCancelled, "cancelled by its owner")
 }
 
 // dropEndedJobs removes jobs that ended longer ago than the retention time.
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -62,8 +62,9 @@
 	// have occurrences left to open.
 	live      []*job
 	repeating []*job
-	// cancels holds cancellations that arrived before their job.
-	cancels map[sched.JobID]bool
+	// cancels holds cancellations that arrived before their job, with the time at
+	// which they were recorded.
+	cancels map[sched.JobID]int64
 
 	// workers holds the workers by name, order in the order in which they were
 	// added.
@@ -123,7 +124,7 @@
 		term:           term,
 		fleet:          &sched.FleetConfig{},
 		jobs:           map[sched.JobID]*job{},
-		cancels:        map[sched.JobID]bool{},
+		cancels:        map[sched.JobID]int64{},
 		workers:        map[sched.WorkerName]*worker{},
 		mayIssueOrders: true,
 
@@ -168,7 +169,7 @@
 	case JobMsg:
 		m.addJob(msg)
 	case CancelMsg:
-		m.cancelJob(msg.Job)
+		m.cancelJob(msg.Job, msg.Recorded)
 	case ConfirmedMsg:
 		m.confirmedAt = msg.Asked
 		m.updateMayIssueOrders()
--- a/pkg/sched/flow/messages.go
+++ b/pkg/sched/flow/messages.go
@@ -25,8 +25,12 @@
 	Version  sched.Version
 }
 
-// CancelMsg cancels a job.
-type CancelMsg struct{ Job sched.JobID }
+// CancelMsg cancels a job. Recorded is when the cancellation was recorded, as Unix
+// time in milliseconds.
+type CancelMsg struct {
+	Job      sched.JobID
+	Recorded int64
+}
 
 // TakeoverMsg begins the term. It names the workers that an earlier leader may
 // have given orders to. All jobs are delivered before it.
