--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -34,7 +34,9 @@
 	// were started, because a repeated order starts nothing.
 	starts  map[sched.RunTask]int
 	started map[sched.Run]bool
-	fenced  int
+	// startedAt holds when the runs were started.
+	startedAt map[sched.Run]time.Time
+	fenced    int
 	// startsWithoutTicket counts start orders of the advised queue that lack the
 	// ticket.
 	startsWithoutTicket int
@@ -43,7 +45,8 @@
 }
 
 func newWorkers(runTime time.Duration) *workers {
-	return &workers{runTime: runTime, runs: map[sched.Run]time.Time{}, starts: map[sched.RunTask]int{}, started: map[sched.Run]bool{}}
+	return &workers{runTime: runTime, runs: map[sched.Run]time.Time{}, starts: map[sched.RunTask]int{}, started: map[sched.Run]bool{},
+		startedAt: map[sched.Run]time.Time{}}
 }
 
 // delayAnswer waits for the delay of an answer.
@@ -105,6 +108,7 @@
 		return w.reply(sched.OrderNoTicket)
 	}
 	w.started[o.Run] = true
+	w.startedAt[o.Run] = time.Now()
 	w.starts[o.Run.Task]++
 	w.runs[o.Run] = time.Now()
 	return w.reply(sched.OrderAccepted)
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -54,8 +54,13 @@
 	until time.Time
 }
 
-// callDelay is how long a call takes.
-const callDelay = 2 * time.Millisecond
+const (
+	// callDelay is how long a call takes.
+	callDelay = 2 * time.Millisecond
+	// answerTimeout is how long a client waits for an answer that does not come.
+	// The wait of a watch is added to it.
+	answerTimeout = time.Second
+)
 
 // New returns an empty store.
 func New() *Store {
@@ -66,6 +71,8 @@
 type Client struct {
 	*Store
 	cut bool
+	// silenced counts the calls of SilenceWatches.
+	silenced int
 }
 
 // Client returns a new client. Each process of a simulated deployment needs its
@@ -81,6 +88,16 @@
 	c.wake()
 }
 
+// SilenceWatches makes the watches of the client that are in progress fail with
+// [sched.ErrLost] one second after their wait has ended, whatever changes
+// meanwhile, as if their connections had gone silent. Later calls are answered.
+func (c *Client) SilenceWatches() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silenced++
+	c.wake()
+}
+
 // SetDown sets whether the store is unavailable for all clients. Leases continue
 // to expire meanwhile.
 func (s *Store) SetDown(down bool) {
@@ -238,10 +255,17 @@
 	ctx context.Context, prefix string, after sched.Version, wait time.Duration,
 ) ([]sched.Change, sched.Version, error) {
 	deadline := time.Now().Add(wait)
+	c.mu.Lock()
+	silenced := c.silenced
+	c.mu.Unlock()
 	for {
 		if err := c.begin(ctx); err != nil {
 			return nil, 0, err
 		}
+		if c.silenced != silenced {
+			c.mu.Unlock()
+			return nil, 0, awaitTimeout(ctx, time.Until(deadline)+answerTimeout)
+		}
 		if after < c.oldest {
 			c.mu.Unlock()
 			return nil, 0, sched.ErrCompacted
@@ -267,6 +291,14 @@
 	}
 }
 
+// awaitTimeout waits for the timeout of a call whose answer does not come.
+func awaitTimeout(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	<-ctx.Done()
+	return errors.Join(sched.ErrLost, ctx.Err())
+}
+
 // nextExpiry returns the time until the next lease may expire, at most one
 // second.
 func (s *Store) nextExpiry() time.Duration {
