Start tasks only while the jobs and cancellations are known to be recent

Cause: the permission to start tasks depended on the confirmation of the term, not on how old the leader's knowledge of the work was. The watch of the jobs waited for up to 3 s and its call for 1 s more, so one silent connection hid a cancellation for 4 s, while other connections confirmed the term.

Change: the runner reports how far it has read the work (WorkReadMsg). Tasks are started, and starts repeated, only while that is at most half of the time in which a cancellation takes effect (bounds.cancel_ms) behind the last confirmation of the term. During an outage of the store both are equally old, so tasks still start. The watch waits for 0.4 s instead of 3 s, and after a failure the next call returns at once. A new leader reads the work last, so its first starts do not depend on how long the other reads took.

--- a/cmd/mangoslip/serve.go
+++ b/cmd/mangoslip/serve.go
@@ -145,7 +145,7 @@
 			Processors: s.Processors, MembersPrefix: fleet.MembersPrefix, DecodeMembers: fleet.DecodeMembers,
 			MachineOptions: []flow.Option{
 				flow.WithLease(c.lease, s.MaxLease), flow.WithStopTime(s.StopTime), flow.WithMaxMiss(s.MaxTargetMiss, s.ThrottleTime),
-				flow.WithRemoteFactor(s.RemoteDataFactor), flow.WithResumeTime(s.ResumeTime),
+				flow.WithRemoteFactor(s.RemoteDataFactor), flow.WithResumeTime(s.ResumeTime), flow.WithCancelTime(s.CancelTime),
 			},
 		},
 	}, daemon.WithLogger(log), daemon.WithStats(st))
--- a/internal/emul/store.go
+++ b/internal/emul/store.go
@@ -159,6 +159,7 @@
 			l.post(flow.CancelMsg{Job: j.Spec.ID, Recorded: j.Cancelled.UnixMilli()})
 		}
 	}
+	l.post(flow.WorkReadMsg{Asked: e.now})
 	takeover := flow.TakeoverMsg{Version: s.items[flow.KeyRoster].Version}
 	if b := s.items[flow.KeyRoster].Value; b != nil {
 		takeover.Roster, _ = flow.DecodeRoster(b)
@@ -175,6 +176,7 @@
 	l.every(confirmEvery, func() {
 		if !e.store.down && !l.storeCut && e.store.term == l.term {
 			l.post(flow.ConfirmedMsg{Asked: e.now})
+			l.post(flow.WorkReadMsg{Asked: e.now.Add(-watchDelay)})
 		}
 	})
 	return l
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -46,9 +46,16 @@
 	membersInterval = 700 * time.Millisecond
 	// tickInterval is the interval between ticks of the state machine.
 	tickInterval = 50 * time.Millisecond
-	// watchWait bounds one watch call, so that a connection on which nothing
-	// arrives any more is noticed.
-	watchWait = 3 * time.Second
+	// watchWait bounds one watch call of the leader's key, so that a connection on
+	// which nothing arrives any more is noticed. workWatchWait does so for the jobs
+	// and cancellations. It is shorter because tasks are started only if these were
+	// read a short time ago.
+	watchWait     = 3 * time.Second
+	workWatchWait = 400 * time.Millisecond
+	// maxWorkAge is the age of the last complete read of the jobs and cancellations
+	// beyond which the leader reads the term again, to find out whether the store
+	// answers.
+	maxWorkAge = 2 * workWatchWait
 	// retryPause is the first pause after a failed call, retryMaxPause the
 	// longest, and retryJitter the random fraction of a pause.
 	retryPause    = 150 * time.Millisecond
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -17,11 +17,17 @@
 	lost := false
 	retry := newStoreBackoff()
 	for t.ctx.Err() == nil {
-		changes, next, err := t.l.store.Watch(t.ctx, layout.WorkPrefix, after, watchWait)
+		wait := workWatchWait
+		if lost {
+			wait = 0 // What has changed meanwhile is needed at once.
+		}
+		asked := t.l.now()
+		changes, next, err := t.l.store.Watch(t.ctx, layout.WorkPrefix, after, wait)
 		switch {
 		case err == nil:
 			after = next
 		case errors.Is(err, sched.ErrCompacted):
+			asked = t.l.now()
 			changes, after, err = t.reread()
 		}
 		if err != nil {
@@ -40,9 +46,19 @@
 		for _, c := range changes {
 			t.postWork(c, nil)
 		}
+		t.recordWorkRead(asked)
 	}
 }
 
+// recordWorkRead records that all jobs and cancellations up to asked were
+// delivered.
+func (t *term) recordWorkRead(asked time.Time) {
+	t.mu.Lock()
+	t.workReadAt = asked
+	t.mu.Unlock()
+	t.post(flow.WorkReadMsg{Asked: asked})
+}
+
 // reread reads all jobs again after the store has dropped the history from which
 // the watch would continue.
 func (t *term) reread() ([]sched.Change, sched.Version, error) {
@@ -197,15 +213,16 @@
 }
 
 // maintainLease renews the leader's lease at intervals, and reads the term when
-// its last confirmation is too old.
+// its last confirmation or the last read of the work is too old.
 func (t *term) maintainLease() {
 	for t.ctx.Err() == nil {
 		pause(t.ctx, renewInterval)
 		t.renewLease()
 		t.mu.Lock()
-		age := t.l.now().Sub(t.confirmedAt)
+		now := t.l.now()
+		due := now.Sub(t.confirmedAt) > maxConfirmationAge || now.Sub(t.workReadAt) > maxWorkAge
 		t.mu.Unlock()
-		if age > maxConfirmationAge {
+		if due {
 			t.confirmTerm()
 		}
 	}
--- a/internal/leader/silent_test.go
+++ b/internal/leader/silent_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/mangoslip/mangoslip/internal/layout"
+	"github.com/mangoslip/mangoslip/internal/memory"
 	"github.com/mangoslip/mangoslip/pkg/sched"
 )
 
@@ -36,7 +37,9 @@
 func TestSilentWatchStartsNoCancelledTask(t *testing.T) {
 	// The first step ends after the bound, so a late cancellation starts the second one.
 	const runTime = cancelBound + 400*time.Millisecond
-	for name, silences := range map[string]int{"one silent connection": 1, "silent connections in a row": 60} {
+	for name, silence := range map[string]time.Duration{
+		"one silent connection": time.Millisecond, "silent connections in a row": 2 * runTime,
+	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := newCluster(t, 1, runTime)
@@ -45,13 +48,11 @@
 				c.submit("1")
 				time.Sleep(100 * time.Millisecond)
 				require.Equal(t, 2, c.startsOf("1", time.Time{}))
-				c.leading()[0].client.SilenceWatches()
+				c.leading()[0].client.SetWatchesSilent(true)
 				c.cancel("1")
 				cancelled := time.Now()
-				for range silences - 1 {
-					time.Sleep(100 * time.Millisecond)
-					c.leading()[0].client.SilenceWatches()
-				}
+				time.Sleep(silence)
+				c.leading()[0].client.SetWatchesSilent(false)
 				time.Sleep(3 * runTime)
 				require.Zero(t, c.startsOf("1", cancelled.Add(cancelBound)))
 				require.Equal(t, sched.JobCancelled, c.state("1"))
@@ -62,15 +63,24 @@
 
 // Guards against tasks that start because a watch delivers a job before its cancellation.
 func TestJobAndCancellationArriveTogether(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 1, time.Second)
-		defer c.stopAll()
-		time.Sleep(time.Second)
-		c.leading()[0].client.SilenceWatches()
-		c.submit("1")
-		c.cancel("1")
-		time.Sleep(10 * time.Second)
-		require.Zero(t, c.startsOf("1", time.Time{}))
-		require.Equal(t, sched.JobCancelled, c.state("1"))
-	})
+	faults := map[string]func(c *memory.Client, active bool){
+		"silent connection": (*memory.Client).SetWatchesSilent, "cut off from the store": (*memory.Client).SetCut,
+	}
+	for name, setFault := range faults {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 1, time.Second)
+				defer c.stopAll()
+				time.Sleep(time.Second)
+				setFault(c.leading()[0].client, true)
+				c.submit("1")
+				c.cancel("1")
+				time.Sleep(500 * time.Millisecond)
+				setFault(c.leading()[0].client, false)
+				time.Sleep(10 * time.Second)
+				require.Zero(t, c.startsOf("1", time.Time{}))
+				require.Equal(t, sched.JobCancelled, c.state("1"))
+			})
+		})
+	}
 }
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -45,6 +45,9 @@
 	// confirmedAt is the start of the most recent call to the store that showed
 	// the term to be the newest.
 	confirmedAt time.Time
+	// workReadAt is the start of the most recent call to the store that completed
+	// the jobs and cancellations that the state machine knows.
+	workReadAt time.Time
 	// loggedInvalid holds the keys of the register of workers that have been
 	// logged as invalid.
 	loggedInvalid map[string]bool
@@ -117,28 +120,30 @@
 // to watch for further work.
 func (t *term) load() (sched.Version, error) {
 	t.spawn("renew lease", t.renewWhileLoading)
-	jobs, after, err := t.rangeWithRetry(layout.WorkPrefix)
+	storedProgress, err := t.rangeWithRetry(layout.Root + flow.KeyProgress)
 	if err != nil {
 		return 0, err
 	}
-	storedProgress, _, err := t.rangeWithRetry(layout.Root + flow.KeyProgress)
+	rosterItems, err := t.rangeWithRetry(layout.Root + flow.KeyRoster)
 	if err != nil {
 		return 0, err
 	}
-	rosterItems, _, err := t.rangeWithRetry(layout.Root + flow.KeyRoster)
+	estimates, err := t.rangeWithRetry(layout.Root + flow.KeyInterference)
 	if err != nil {
 		return 0, err
 	}
-	estimates, _, err := t.rangeWithRetry(layout.Root + flow.KeyInterference)
+	members, err := t.rangeWithRetry(t.l.MembersPrefix)
 	if err != nil {
 		return 0, err
 	}
-	members, _, err := t.rangeWithRetry(t.l.MembersPrefix)
+	// The work comes last, so that cancellations are not older than necessary when
+	// tasks are started. No earlier leader can change the progress any more.
+	work, err := t.rangeWithRetry(layout.WorkPrefix)
 	if err != nil {
 		return 0, err
 	}
 	progress := map[string]sched.Item{}
-	for _, i := range storedProgress {
+	for _, i := range storedProgress.items {
 		progress[i.Key] = i
 	}
 	t.post(flow.ConfirmedMsg{Asked: t.confirmedAt})
@@ -146,17 +151,18 @@
 	fleet := t.l.fleet
 	t.l.mu.Unlock()
 	t.post(flow.ConfigMsg{Fleet: fleet})
-	t.postMembers(members)
-	for _, i := range jobs {
+	t.postMembers(members.items)
+	for _, i := range work.items {
 		t.postWork(sched.Change{Item: i}, progress)
 	}
+	t.recordWorkRead(work.asked)
 	takeover := flow.TakeoverMsg{}
-	for _, i := range estimates {
+	for _, i := range estimates.items {
 		if i.Key == layout.Root+flow.KeyInterference {
 			takeover.Interference, takeover.InterferenceVersion = i.Value, i.Version
 		}
 	}
-	for _, i := range rosterItems {
+	for _, i := range rosterItems.items {
 		if i.Key != layout.Root+flow.KeyRoster {
 			continue
 		}
@@ -166,26 +172,35 @@
 		}
 	}
 	t.post(takeover)
-	t.l.log.Info("state loaded", "term", t.number, "items", len(jobs), "progress", len(storedProgress),
-		"members", len(members), "roster", len(takeover.Roster), "took", t.l.now().Sub(t.started))
+	t.l.log.Info("state loaded", "term", t.number, "items", len(work.items), "progress", len(storedProgress.items),
+		"members", len(members.items), "roster", len(takeover.Roster), "took", t.l.now().Sub(t.started))
 	t.l.mu.Lock()
 	t.loaded = true
 	t.l.mu.Unlock()
-	return after, nil
+	return work.version, nil
+}
+
+// reading holds the items under a prefix, the version of the store at which they
+// were read, and when the store was asked.
+type reading struct {
+	items   []sched.Item
+	version sched.Version
+	asked   time.Time
 }
 
 // rangeWithRetry reads the items under a prefix, and retries until this succeeds
 // or the term ends.
-func (t *term) rangeWithRetry(prefix string) ([]sched.Item, sched.Version, error) {
+func (t *term) rangeWithRetry(prefix string) (reading, error) {
 	for {
+		asked := t.l.now()
 		items, version, err := t.l.store.Range(t.ctx, prefix, false)
 		if err == nil {
-			return items, version, nil
+			return reading{items, version, asked}, nil
 		}
 		t.l.log.Warn("state not loaded", "term", t.number, "prefix", prefix, "error", err)
 		pause(t.ctx, retryPause)
 		if t.ctx.Err() != nil {
-			return nil, 0, context.Cause(t.ctx)
+			return reading{}, context.Cause(t.ctx)
 		}
 	}
 }
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -71,8 +71,10 @@
 type Client struct {
 	*Store
 	cut bool
-	// silenced counts the calls of SilenceWatches.
-	silenced int
+	// silent means that watches get no answer; see SetWatchesSilent. silences
+	// counts how often it was set.
+	silent   bool
+	silences int
 }
 
 // Client returns a new client. Each process of a simulated deployment needs its
@@ -88,14 +90,17 @@
 	c.wake()
 }
 
-// SilenceWatches makes the watches of the client that are in progress fail with
-// [sched.ErrLost] one second after their wait has ended, whatever changes
-// meanwhile, as if their connections had gone silent. Later calls are answered.
-func (c *Client) SilenceWatches() {
+// SetWatchesSilent sets whether the client's watches get no answer, as if their
+// connections had gone silent. That holds for the watches in progress too, even
+// after it is unset. They fail with [sched.ErrLost] one second after their wait.
+func (c *Client) SetWatchesSilent(silent bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.silenced++
-	c.wake()
+	c.silent = silent
+	if silent {
+		c.silences++
+		c.wake()
+	}
 }
 
 // SetDown sets whether the store is unavailable for all clients. Leases continue
@@ -256,13 +261,13 @@
 ) ([]sched.Change, sched.Version, error) {
 	deadline := time.Now().Add(wait)
 	c.mu.Lock()
-	silenced := c.silenced
+	silences := c.silences
 	c.mu.Unlock()
 	for {
 		if err := c.begin(ctx); err != nil {
 			return nil, 0, err
 		}
-		if c.silenced != silenced {
+		if c.silent || c.silences != silences {
 			c.mu.Unlock()
 			return nil, 0, awaitTimeout(ctx, time.Until(deadline)+answerTimeout)
 		}
--- a/pkg/sched/flow/consolidate.go
+++ b/pkg/sched/flow/consolidate.go
@@ -30,7 +30,7 @@
 // with all latency-critical tasks there, so a mix of images excludes most
 // best-effort tasks.
 func (m *Machine) consolidate() {
-	if m.now.Sub(m.consolidatedAt) < consolidateInterval || m.recovery.active || !m.mayIssueOrders {
+	if m.now.Sub(m.consolidatedAt) < consolidateInterval || m.recovery.active || !m.mayStart() {
 		return
 	}
 	m.consolidatedAt = m.now
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -111,6 +111,11 @@
 	confirmedAt    time.Time
 	mayIssueOrders bool
 	permissionAt   time.Time
+	// workReadAt is when the store was last asked for all jobs and cancellations
+	// and answered, zero if that is not reported. workIsCurrent means that it is
+	// recent enough to start tasks.
+	workReadAt    time.Time
+	workIsCurrent bool
 	// mostAreSlow means that most workers answer late or not at all.
 	mostAreSlow bool
 }
@@ -127,6 +132,7 @@
 		cancels:        map[sched.JobID]int64{},
 		workers:        map[sched.WorkerName]*worker{},
 		mayIssueOrders: true,
+		workIsCurrent:  true,
 
 		permittedShare: initialPermittedShare,
 	}
@@ -173,6 +179,9 @@
 	case ConfirmedMsg:
 		m.confirmedAt = msg.Asked
 		m.updateMayIssueOrders()
+		m.updateWorkIsCurrent()
+	case WorkReadMsg:
+		m.readWork(msg)
 	case TakeoverMsg:
 		m.takeOver(msg)
 	case RenewResultMsg:
--- a/pkg/sched/flow/options.go
+++ b/pkg/sched/flow/options.go
@@ -25,6 +25,9 @@
 	defaultRetention    = 10 * time.Minute
 	defaultGangWait     = 3 * time.Second // The machine does not read gangWait.
 	defaultResumeTime   = 600 * time.Millisecond
+	// defaultCancelTime is how long after its acknowledgement a cancellation may
+	// take effect.
+	defaultCancelTime = 3 * time.Second
 )
 
 type options struct {
@@ -34,7 +37,7 @@
 	maxMiss, throttleTime, gangWait time.Duration
 	remoteFactor                    float64
 	retention                       time.Duration
-	resumeTime                      time.Duration
+	resumeTime, cancelTime          time.Duration
 	wallMillis                      func(time.Time) int64
 }
 
@@ -43,7 +46,7 @@
 		lease: defaultLease, maxLease: defaultMaxLease, stopTime: defaultStopTime, callTime: defaultCallTime,
 		reserveShare: defaultReserveShare, maxMiss: defaultMaxMiss, throttleTime: defaultThrottleTime,
 		remoteFactor: defaultRemoteFactor, retention: defaultRetention, gangWait: defaultGangWait,
-		resumeTime: defaultResumeTime,
+		resumeTime: defaultResumeTime, cancelTime: defaultCancelTime,
 		wallMillis: func(t time.Time) int64 { return t.UnixMilli() },
 	}
 }
@@ -79,6 +82,10 @@
 // 600 ms).
 func WithResumeTime(d time.Duration) Option { return func(o *options) { o.resumeTime = d } }
 
+// WithCancelTime sets how long after its acknowledgement a cancellation may take
+// effect (default 3 s).
+func WithCancelTime(d time.Duration) Option { return func(o *options) { o.cancelTime = d } }
+
 // WithWallClock sets the function that returns the time of day as Unix time in
 // milliseconds. It determines when the occurrences of a repeated job are due.
 func WithWallClock(f func(now time.Time) int64) Option { return func(o *options) { o.wallMillis = f } }
--- a/pkg/sched/flow/schedule.go
+++ b/pkg/sched/flow/schedule.go
@@ -20,7 +20,7 @@
 
 // schedule places waiting tasks, the most urgent first.
 func (m *Machine) schedule() {
-	if !m.stale || !m.loaded || !m.mayIssueOrders || m.now.Before(m.nextPass) {
+	if !m.stale || !m.loaded || !m.mayStart() || m.now.Before(m.nextPass) {
 		return
 	}
 	m.stale, m.ratings = false, 0
--- a/pkg/sched/flow/start.go
+++ b/pkg/sched/flow/start.go
@@ -30,7 +30,7 @@
 		Fence: m.term, Saved: r.resumedFrom, Ticket: ticket,
 	}
 	m.log("start ordered", "id", r.task.job().spec.ID, "task", r.task.name(), "run", r.number, "worker", w.name(),
-		"try", r.tries, "waited", m.now.Sub(r.task.queuedAt), "contact", w.sinceContact(m.now))
+		"try", r.tries, "waited", m.now.Sub(r.task.queuedAt), "contact", w.sinceContact(m.now), "workRead", m.sinceWorkRead())
 	m.emit(StartCmd{Member: w.member, Order: order})
 }
 
@@ -144,7 +144,7 @@
 	if r.state != runStarting {
 		return
 	}
-	if r.tries < maxStartTries {
+	if r.tries < maxStartTries && m.mayStart() {
 		m.sendStart(r)
 		return
 	}
