Deliver the cancellations of one answer before its jobs

What callers saw: tasks of a job were started although the leader had already received the job's cancellation.

Cause: a watch that was behind returns a job and its cancellation in one answer. The leader delivered the changes one by one, and the state machine starts tasks after each message.

Change: the cancellations of an answer are delivered first; the state machine keeps them until their jobs arrive. A read of all work has had this order already, because of the order of the keys.

--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -43,10 +43,24 @@
 			lost = false
 			retry.Reset()
 		}
+		t.postChanges(changes)
+		t.recordWorkRead(asked)
+	}
+}
+
+// postChanges handles the changes of one answer. Cancellations come first, so that
+// no task of a job is started whose cancellation is known.
+func (t *term) postChanges(changes []sched.Change) {
+	isCancellation := func(c sched.Change) bool {
+		_, ok := layout.CancelledJobFromKey(c.Key)
+		return ok
+	}
+	for _, cancellations := range []bool{true, false} {
 		for _, c := range changes {
-			t.postWork(c, nil)
+			if isCancellation(c) == cancellations {
+				t.postWork(c, nil)
+			}
 		}
-		t.recordWorkRead(asked)
 	}
 }
 
