Read the progress of jobs again when the history is dropped

Cause: after the store had dropped its history, the leader delivered all stored jobs without their progress. The state machine forgets a job ten minutes after it ended, so such a job counted as new and all its tasks ran again.

Change: the progress is read again too. Jobs that have ended are then known to have ended.

Result: TestEndedJobStaysEndedWhenHistoryIsDropped failed before (two starts of a task of a completed job) and passes.

--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -627,6 +627,23 @@
 	})
 }
 
+// Guards against a job that has ended and runs again because the history was dropped.
+func TestEndedJobStaysEndedWhenHistoryIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, time.Second)
+		defer c.stopAll()
+		time.Sleep(time.Second)
+		c.submit("1")
+		c.requireDone("1", 5*time.Second)
+		time.Sleep(11 * time.Minute)
+		c.leading()[0].client.SetCut(true)
+		c.submit("2")
+		c.store.Compact()
+		c.leading()[0].client.SetCut(false)
+		c.requireDone("2", 10*time.Second)
+	})
+}
+
 // Guards against a leader that abandons every order because answers take longer
 // than a fixed timeout, as they do when it is short of processor time. Such a
 // leader repeated orders until the leases of healthy workers expired, and then
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -22,13 +22,12 @@
 			wait = 0 // What has changed meanwhile is needed at once.
 		}
 		asked := t.l.now()
+		var progress map[string]sched.Item
 		changes, next, err := t.l.store.Watch(t.ctx, layout.WorkPrefix, after, wait)
-		switch {
-		case err == nil:
-			after = next
-		case errors.Is(err, sched.ErrCompacted):
-			asked = t.l.now()
-			changes, after, err = t.reread()
+		if errors.Is(err, sched.ErrCompacted) {
+			var work reading
+			work, progress, err = t.reread()
+			changes, next, asked = work.changes(), work.version, work.asked
 		}
 		if err != nil {
 			if !lost && t.ctx.Err() == nil {
@@ -43,14 +42,16 @@
 			lost = false
 			retry.Reset()
 		}
-		t.postChanges(changes)
+		after = next
+		t.postChanges(changes, progress)
 		t.recordWorkRead(asked)
 	}
 }
 
 // postChanges handles the changes of one answer. Cancellations come first, so that
-// no task of a job is started whose cancellation is known.
-func (t *term) postChanges(changes []sched.Change) {
+// no task of a job is started whose cancellation is known. progress is as in
+// postWork.
+func (t *term) postChanges(changes []sched.Change, progress map[string]sched.Item) {
 	isCancellation := func(c sched.Change) bool {
 		_, ok := layout.CancelledJobFromKey(c.Key)
 		return ok
@@ -58,7 +59,7 @@
 	for _, cancellations := range []bool{true, false} {
 		for _, c := range changes {
 			if isCancellation(c) == cancellations {
-				t.postWork(c, nil)
+				t.postWork(c, progress)
 			}
 		}
 	}
@@ -73,16 +74,17 @@
 	t.post(flow.WorkReadMsg{Asked: asked})
 }
 
-// reread reads all jobs again after the store has dropped the history from which
-// the watch would continue.
-func (t *term) reread() ([]sched.Change, sched.Version, error) {
-	items, version, err := t.l.store.Range(t.ctx, layout.WorkPrefix, false)
-	t.l.log.Info("watch history was compacted; jobs are read again", "items", len(items), "version", version, "error", err)
-	changes := make([]sched.Change, len(items))
-	for i, item := range items {
-		changes[i] = sched.Change{Item: item}
+// reread reads all jobs and their progress again after the store has dropped the
+// history from which the watch would continue. The state machine has forgotten the
+// jobs that ended long ago, and without their progress it would run them again.
+func (t *term) reread() (work reading, progress map[string]sched.Item, err error) {
+	stored, err := t.read(layout.Root + flow.KeyProgress)
+	if err == nil {
+		work, err = t.read(layout.WorkPrefix)
 	}
-	return changes, version, err
+	t.l.log.Info("watch history was compacted; jobs are read again", "items", len(work.items),
+		"progress", len(stored.items), "version", work.version, "error", err)
+	return work, stored.byKey(), err
 }
 
 // postWork handles a change under the work prefix. progress holds the stored
--- /dev/null
+++ b/internal/leader/reading.go
@@ -0,0 +1,40 @@
+package leader
+
+import (
+	"time"
+
+	"github.com/mangoslip/mangoslip/pkg/sched"
+)
+
+// reading holds the items under a prefix, the version of the store at which they
+// were read, and when the store was asked.
+type reading struct {
+	items   []sched.Item
+	version sched.Version
+	asked   time.Time
+}
+
+// read reads the items under a prefix.
+func (t *term) read(prefix string) (reading, error) {
+	asked := t.l.now()
+	items, version, err := t.l.store.Range(t.ctx, prefix, false)
+	return reading{items, version, asked}, err
+}
+
+// byKey returns the items by their keys.
+func (r reading) byKey() map[string]sched.Item {
+	out := make(map[string]sched.Item, len(r.items))
+	for _, i := range r.items {
+		out[i.Key] = i
+	}
+	return out
+}
+
+// changes returns the items as changes.
+func (r reading) changes() []sched.Change {
+	out := make([]sched.Change, len(r.items))
+	for n, i := range r.items {
+		out[n] = sched.Change{Item: i}
+	}
+	return out
+}
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -142,10 +142,7 @@
 	if err != nil {
 		return 0, err
 	}
-	progress := map[string]sched.Item{}
-	for _, i := range storedProgress.items {
-		progress[i.Key] = i
-	}
+	progress := storedProgress.byKey()
 	t.post(flow.ConfirmedMsg{Asked: t.confirmedAt})
 	t.l.mu.Lock()
 	fleet := t.l.fleet
@@ -180,22 +177,13 @@
 	return work.version, nil
 }
 
-// reading holds the items under a prefix, the version of the store at which they
-// were read, and when the store was asked.
-type reading struct {
-	items   []sched.Item
-	version sched.Version
-	asked   time.Time
-}
-
 // rangeWithRetry reads the items under a prefix, and retries until this succeeds
 // or the term ends.
 func (t *term) rangeWithRetry(prefix string) (reading, error) {
 	for {
-		asked := t.l.now()
-		items, version, err := t.l.store.Range(t.ctx, prefix, false)
+		r, err := t.read(prefix)
 		if err == nil {
-			return reading{items, version, asked}, nil
+			return r, nil
 		}
 		t.l.log.Warn("state not loaded", "term", t.number, "prefix", prefix, "error", err)
 		pause(t.ctx, retryPause)
