Hold starts while the store answers other entries but not the leader

What callers saw: nothing yet.

Cause: a leader that is cut off from the store may issue orders while most workers answer it. The other entries still record cancellations. If the next leader is late, which an entry with little processor time is by 2 s, the old one starts tasks of jobs that were cancelled more than 3 s before.

Change: a leader that has not read the work for 1.2 s asks up to four entries how long ago the store answered them (VerbLeader). It compares its knowledge of the work with the most recent answer of the store to any entry. If the store answers nobody, tasks are started as before.

Result: TestCutOffLeaderStartsNoCancelledTask fails without it. The emulator's check of cancellations no longer excuses a leader that is cut off, and it has a new fault, a watch that goes silent; TestAnySequenceOfFaults fails if starts do not depend on the age of the work.

--- a/internal/emul/emul.go
+++ b/internal/emul/emul.go
@@ -49,9 +49,8 @@
 	leaders     []*Leader
 	store       store
 	longestMiss time.Duration
-	// storeCutChanged is when the store or a leader's connection to it last
-	// failed or recovered.
-	storeCutChanged time.Time
+	// storeDownChanged is when the store last failed or recovered.
+	storeDownChanged time.Time
 
 	// Interferes reports whether a best-effort image interferes with a
 	// latency-critical one. By default it does if the last bytes of their names
--- a/internal/emul/oracle.go
+++ b/internal/emul/oracle.go
@@ -55,7 +55,7 @@
 	if !r.spec.Perpetual && limit > 0 && max(r.job.ackedFailures[t], r.job.ackedFailures[gangCountKey(t)]) >= limit {
 		e.violate("%s starts after %d failures", taskName(t), r.job.ackedFailures[t])
 	}
-	if !r.job.Cancelled.IsZero() && e.now.Sub(r.job.Cancelled) > cancelBound && e.leadersReachStore() {
+	if !r.job.Cancelled.IsZero() && e.now.Sub(r.job.Cancelled) > cancelBound && e.storeAnswers() {
 		e.violate("%s starts %s after its cancellation", taskName(t), e.now.Sub(r.job.Cancelled))
 	}
 }
@@ -93,19 +93,10 @@
 	return false
 }
 
-// leadersReachStore reports whether every live leader has been connected to the
-// store for at least cancelBound. Otherwise a leader may not know of a
-// cancellation yet.
-func (e *Emulator) leadersReachStore() bool {
-	if e.store.down || e.now.Sub(e.storeCutChanged) < cancelBound {
-		return false
-	}
-	for _, l := range e.leaders {
-		if l.storeCut && !l.dead {
-			return false
-		}
-	}
-	return true
+// storeAnswers reports whether the store has not been down for at least cancelBound.
+// Otherwise no leader may know of a cancellation yet.
+func (e *Emulator) storeAnswers() bool {
+	return !e.store.down && e.now.Sub(e.storeDownChanged) >= cancelBound
 }
 
 // cancelBound is how long after a cancellation tasks of the job may still start.
--- a/internal/emul/store.go
+++ b/internal/emul/store.go
@@ -42,7 +42,7 @@
 // SetStoreDown sets whether the store is unreachable for all leaders.
 func (e *Emulator) SetStoreDown(down bool) {
 	e.store.down = down
-	e.storeCutChanged = e.now
+	e.storeDownChanged = e.now
 }
 
 // LoseCommits sets the share of commits whose answers are lost. On average, half
@@ -110,10 +110,11 @@
 	Machine *flow.Machine
 	// dead means that the leader's process was killed.
 	dead bool
-	// storeCut means that the leader cannot reach the store. cut holds the
-	// workers that it cannot reach.
-	storeCut bool
-	cut      map[*Worker]bool
+	// storeCut means that the leader cannot reach the store, and watchSilent that
+	// its watch delivers nothing. cut holds the workers that it cannot reach.
+	storeCut    bool
+	watchSilent bool
+	cut         map[*Worker]bool
 	// LostReason is the reason why the machine gave up leadership. It is empty
 	// while the machine leads.
 	LostReason string
@@ -176,7 +177,12 @@
 	l.every(confirmEvery, func() {
 		if !e.store.down && !l.storeCut && e.store.term == l.term {
 			l.post(flow.ConfirmedMsg{Asked: e.now})
-			l.post(flow.WorkReadMsg{Asked: e.now.Add(-watchDelay)})
+			if !l.watchSilent {
+				l.post(flow.WorkReadMsg{Asked: e.now.Add(-watchDelay)})
+			}
+		}
+		if !e.store.down {
+			l.post(flow.StoreAnsweredMsg{At: e.now.Add(-confirmEvery)})
 		}
 	})
 	return l
@@ -208,10 +214,11 @@
 func (l *Leader) Kill() { l.dead = true }
 
 // CutStore sets whether the leader is cut off from the store.
-func (l *Leader) CutStore(cut bool) {
-	l.storeCut = cut
-	l.e.storeCutChanged = l.e.now
-}
+func (l *Leader) CutStore(cut bool) { l.storeCut = cut }
+
+// SilenceWatch sets whether the leader's watch delivers nothing, although the store
+// answers its other calls.
+func (l *Leader) SilenceWatch(silent bool) { l.watchSilent = silent }
 
 // CutWorker sets whether the leader is cut off from a worker.
 func (l *Leader) CutWorker(w *Worker, cut bool) { l.cut[w] = cut }
@@ -230,10 +237,10 @@
 }
 
 // deliverChange delivers a change of the store, as a watch does, and retries
-// while the leader is cut off from the store.
+// while nothing is delivered.
 func (l *Leader) deliverChange(msg sched.Msg) {
 	l.e.After(watchDelay, func() {
-		if !l.storeCut && !l.e.store.down {
+		if !l.storeCut && !l.watchSilent && !l.e.store.down {
 			l.post(msg)
 			return
 		}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -20,6 +20,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/mangoslip/mangoslip/internal/clock"
 	"github.com/mangoslip/mangoslip/internal/guard"
 	"github.com/mangoslip/mangoslip/internal/layout"
 	"github.com/mangoslip/mangoslip/internal/relay"
@@ -125,6 +126,8 @@
 	// since is the time of the first of the consecutive failures, in Unix
 	// nanoseconds.
 	since atomic.Int64
+	// answered is when the store last answered, nil if it has not.
+	answered atomic.Pointer[time.Time]
 }
 
 // unreachableAfter is the number of consecutive failed calls after which the
@@ -137,6 +140,8 @@
 	switch {
 	case err == nil, errors.Is(err, sched.ErrConflict), errors.Is(err, sched.ErrNotFound):
 		h.failures.Store(0)
+		now := clock.Now()
+		h.answered.Store(&now)
 	case errors.Is(err, context.Canceled):
 	default:
 		if h.failures.Add(1) == 1 {
@@ -145,6 +150,16 @@
 	}
 }
 
+// SinceAnswer returns how long ago the store last answered, and whether it has
+// answered at all.
+func (h *Health) SinceAnswer() (time.Duration, bool) {
+	at := h.answered.Load()
+	if at == nil {
+		return 0, false
+	}
+	return clock.Now().Sub(*at), true
+}
+
 // UnreachableFor returns how long the store has been unreachable, or 0 if it is
 // not.
 func (h *Health) UnreachableFor(now time.Time) time.Duration {
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -221,6 +221,22 @@
 	require.False(t, h.Unreachable())
 }
 
+// Guards against a leader without the store that takes the store to be down because
+// an entry does not say when the store answered it.
+func TestEntryTellsWhenTheStoreAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := jobs.New(memory.New().Client(), noLeader{}, fakePeers{})
+		ask := func() relay.Answer { return s.Answer(t.Context(), relay.Question{Verb: relay.VerbLeader}) }
+		require.False(t, ask().StoreAnswered)
+		s.Health().Record(nil)
+		time.Sleep(2 * time.Second)
+		s.Health().Record(sched.ErrUnavailable)
+		s.Health().Record(sched.ErrUnavailable)
+		require.True(t, ask().StoreAnswered)
+		require.InDelta(t, 2*time.Second, ask().SinceStore, float64(100*time.Millisecond))
+	})
+}
+
 // Guards against retry-after times that are so short that callers use up their
 // retries before an outage of the store is over.
 func TestCallersOutlastAnOutage(t *testing.T) {
--- a/internal/jobs/stored.go
+++ b/internal/jobs/stored.go
@@ -98,6 +98,7 @@
 	case relay.VerbSubmit, relay.VerbCancel:
 		s.recordFor(ctx, q, &a)
 	case relay.VerbLeader:
+		a.SinceStore, a.StoreAnswered = s.health.SinceAnswer()
 		if s.health.Unreachable() {
 			a.Reason, a.Outcome = sched.ReasonStoreUnavailable, sched.NotRun
 		}
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -235,15 +235,37 @@
 		pause(t.ctx, renewInterval)
 		t.renewLease()
 		t.mu.Lock()
-		now := t.l.now()
-		due := now.Sub(t.confirmedAt) > maxConfirmationAge || now.Sub(t.workReadAt) > maxWorkAge
+		age := t.l.now().Sub(t.confirmedAt)
 		t.mu.Unlock()
-		if due {
+		if age > maxConfirmationAge || t.workAge() > maxWorkAge {
 			t.confirmTerm()
 		}
 	}
 }
 
+// workAge returns the age of the last complete read of the jobs and cancellations.
+func (t *term) workAge() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.l.now().Sub(t.workReadAt)
+}
+
+// checkPeerContact asks other entries about the store while this entry has not read
+// the jobs and cancellations for some time. If the store answers others, they may
+// have recorded cancellations that this leader does not know.
+func (t *term) checkPeerContact() {
+	for t.ctx.Err() == nil {
+		pause(t.ctx, storeCheckInterval)
+		if t.workAge() <= maxWorkAge {
+			continue
+		}
+		asked := t.l.now()
+		if since, ok := t.l.sincePeerContact(t.ctx); ok {
+			t.post(flow.StoreAnsweredMsg{At: asked.Add(-since)})
+		}
+	}
+}
+
 // renewLease renews the leader's lease. If the lease has ended, it writes the
 // leader's key again under a new lease: the term continues as long as no entry
 // has begun a newer one.
--- a/internal/leader/silent_test.go
+++ b/internal/leader/silent_test.go
@@ -84,3 +84,32 @@
 		})
 	}
 }
+
+// Guards against tasks that a leader without the store starts while others record cancellations.
+func TestCutOffLeaderStartsNoCancelledTask(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// The first steps end after the bound, before the weak entry leads.
+		const runTime = cancelBound + 200*time.Millisecond
+		c := newCluster(t, 0, runTime)
+		defer c.stopAll()
+		strong := c.addEntryWith("strong", 1)
+		time.Sleep(time.Second)
+		c.addEntryWith("weak", 0.2)
+		time.Sleep(time.Second)
+		require.Equal(t, strong, c.leading()[0])
+		jobs := []sched.JobID{"1", "2", "3", "4", "5"}
+		for _, id := range jobs {
+			c.submit(id)
+			time.Sleep(50 * time.Millisecond)
+		}
+		strong.client.SetCut(true)
+		cancelled := time.Now()
+		for _, id := range jobs {
+			c.cancel(id)
+		}
+		time.Sleep(3 * runTime)
+		for _, id := range jobs {
+			require.Zero(t, c.startsOf(id, cancelled.Add(cancelBound)))
+		}
+	})
+}
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -89,6 +89,7 @@
 		t.spawn("read workers", t.pollMembers)
 		t.spawn("maintain lease", t.maintainLease)
 		t.spawn("tick", t.tick)
+		t.spawn("check peers' contact", t.checkPeerContact)
 		t.spawn("transfer leadership", t.transferToStronger)
 		<-t.ctx.Done()
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -72,6 +72,10 @@
 	Leader layout.Leader `cbor:"6,keyasint"`
 	// Advice is the adviser's answer.
 	Advice *sched.Advice `cbor:"8,keyasint,omitempty"`
+	// SinceStore is how long ago the store last answered the answering entry, in
+	// answers to VerbLeader. StoreAnswered means that it has answered at all.
+	SinceStore    time.Duration `cbor:"9,keyasint,omitempty"`
+	StoreAnswered bool          `cbor:"10,keyasint,omitempty"`
 }
 
 // Err returns the error of the answer, or nil on success.
--- a/pkg/sched/flow/fault_test.go
+++ b/pkg/sched/flow/fault_test.go
@@ -64,6 +64,10 @@
 			e.SetStoreDown(true)
 			e.After(9*time.Second, func() { e.SetStoreDown(false) })
 		}},
+		{"WatchIsSilent", func(e *emul.Emulator, l *emul.Leader) {
+			l.SilenceWatch(true)
+			e.After(8*time.Second, func() { l.SilenceWatch(false) })
+		}},
 		{"LeaderDiesWhileStoreIsDown", func(e *emul.Emulator, l *emul.Leader) {
 			e.SetStoreDown(true)
 			e.After(2*time.Second, l.Kill)
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -111,6 +111,9 @@
 	confirmedAt    time.Time
 	mayIssueOrders bool
 	permissionAt   time.Time
+	// storeAnsweredAt is when the store last answered this entry or, as far as is
+	// known, another one.
+	storeAnsweredAt time.Time
 	// workReadAt is when the store was last asked for all jobs and cancellations
 	// and answered, zero if that is not reported. workIsCurrent means that it is
 	// recent enough to start tasks.
@@ -179,7 +182,9 @@
 	case ConfirmedMsg:
 		m.confirmedAt = msg.Asked
 		m.updateMayIssueOrders()
-		m.updateWorkIsCurrent()
+		m.noteStoreAnswered(msg.Asked)
+	case StoreAnsweredMsg:
+		m.noteStoreAnswered(msg.At)
 	case WorkReadMsg:
 		m.readWork(msg)
 	case TakeoverMsg:
--- a/pkg/sched/flow/workread.go
+++ b/pkg/sched/flow/workread.go
@@ -6,6 +6,17 @@
 // Asked have been delivered. Asked is when the store was asked.
 type WorkReadMsg struct{ Asked time.Time }
 
+// StoreAnsweredMsg reports that the store answered another entry at At.
+type StoreAnsweredMsg struct{ At time.Time }
+
+// noteStoreAnswered records that the store answered an entry.
+func (m *Machine) noteStoreAnswered(at time.Time) {
+	if at.After(m.storeAnsweredAt) {
+		m.storeAnsweredAt = at
+	}
+	m.updateWorkIsCurrent()
+}
+
 // readWork records how far the jobs and cancellations are known.
 func (m *Machine) readWork(msg WorkReadMsg) {
 	if msg.Asked.After(m.workReadAt) {
@@ -16,13 +27,13 @@
 
 // updateWorkIsCurrent updates workIsCurrent and logs when it changes.
 //
-// While the store answers, any entry can record a cancellation there. Tasks are
-// therefore started only if the last complete read of the work is not much older
-// than the last confirmation of the term. Half of the time within which a
-// cancellation takes effect is left for the confirmation and the order. During an
+// While the store answers any entry, a cancellation can be recorded there. Tasks
+// are therefore started only if the last complete read of the work is not much
+// older than the store's last answer. Half of the time within which a cancellation
+// takes effect is left for learning of that answer and for the order. During an
 // outage of the store both are equally old, and tasks are still started.
 func (m *Machine) updateWorkIsCurrent() {
-	unread := m.confirmedAt.Sub(m.workReadAt)
+	unread := m.storeAnsweredAt.Sub(m.workReadAt)
 	current := m.workReadAt.IsZero() || unread <= m.cancelTime/2
 	if current == m.workIsCurrent {
 		return
