Send a start only while it is still wanted

Change: when a start gets its slot, the state machine is asked whether it is still wanted. If not, it is withdrawn: its run ends if no earlier copy was sent. Stops no longer wait behind starts that are of no use.

Result: TestStartWaitsUntilItsJobIsCancelled failed before (41 starts more than 3 s after the cancellation, with answers that take 1.2 s) and passes.

--- a/internal/leader/silent_test.go
+++ b/internal/leader/silent_test.go
@@ -113,3 +113,22 @@
 		}
 	})
 }
+
+// Guards against start orders that wait for a slot until long after their job was cancelled.
+func TestStartWaitsUntilItsJobIsCancelled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, time.Minute)
+		defer c.stopAll()
+		time.Sleep(time.Second)
+		c.workers.mu.Lock()
+		c.workers.answerDelay = 1200 * time.Millisecond
+		c.workers.mu.Unlock()
+		w := &sched.Workflow{ID: "1", Queue: "Q", Steps: []sched.StepSpec{{Count: 100, Resources: sched.Resources{CPU: 10}}}}
+		c.store.Put(layout.JobKey("1"), layout.Encode(layout.Job{Workflow: w, Accepted: time.Now().UnixMilli()}))
+		time.Sleep(200 * time.Millisecond)
+		c.cancel("1")
+		cancelled := time.Now()
+		time.Sleep(20 * time.Second)
+		require.Zero(t, c.startsOf("1", cancelled.Add(cancelBound)))
+	})
+}
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -281,6 +281,12 @@
 }
 
 func (t *term) start(cmd flow.StartCmd) {
+	if !t.wanted(cmd) {
+		t.post(flow.StartResultMsg{
+			Result: flow.Result{Worker: cmd.Member.Worker, Sent: t.l.now(), Err: flow.ErrWithdrawn}, Run: cmd.Order.Run,
+		})
+		return
+	}
 	var reply sched.OrderReply
 	sent, err := t.sendOrder(orderTimeout, 0, func(ctx context.Context) (err error) {
 		reply, err = t.orders.Start(ctx, cmd.Member, cmd.Order)
@@ -292,6 +298,13 @@
 	})
 }
 
+// wanted reports whether the state machine still wants a start to be sent.
+func (t *term) wanted(cmd flow.StartCmd) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.machine.Wanted(cmd.Member.Worker, cmd.Order.Run)
+}
+
 func (t *term) stop(cmd flow.StopCmd) {
 	var reply sched.OrderReply
 	sent, err := t.sendOrder(orderTimeout, 0, func(ctx context.Context) (err error) {
--- a/pkg/sched/flow/start.go
+++ b/pkg/sched/flow/start.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"errors"
 	"time"
 
 	"github.com/mangoslip/mangoslip/pkg/sched"
@@ -57,6 +58,8 @@
 	}
 	r.inCall = false
 	switch {
+	case errors.Is(msg.Err, ErrWithdrawn):
+		m.startWithdrawn(r)
 	case msg.Err == nil && msg.Reply.Refusal == sched.OrderAccepted:
 		m.startAccepted(r)
 	case msg.Err == nil:
@@ -68,6 +71,36 @@
 	}
 }
 
+// ErrWithdrawn is the error of a start that was not sent because [Machine.Wanted]
+// returned false.
+var ErrWithdrawn = errors.New("start is not wanted any more")
+
+// Wanted reports whether a start that was ordered should still be sent. Orders may
+// wait for some time before they are sent, and the job may have been cancelled
+// meanwhile.
+func (m *Machine) Wanted(worker sched.WorkerName, id sched.Run) bool {
+	w := m.workers[worker]
+	if w == nil {
+		return false
+	}
+	r := w.runs[id]
+	return r != nil && r.state == runStarting && m.mayStart()
+}
+
+// startWithdrawn handles a start that was not sent. An earlier copy may have been
+// carried out, and the worker may have reported the run meanwhile.
+func (m *Machine) startWithdrawn(r *run) {
+	m.log("start withdrawn", "id", r.task.job().spec.ID, "task", r.task.name(), "run", r.number,
+		"worker", r.worker.name(), "try", r.tries, "waited", m.now.Sub(r.lastSent), "workRead", m.sinceWorkRead())
+	switch {
+	case r.state == runRunning:
+	case r.tries > 1:
+		m.stop(r, "start withdrawn after a lost answer")
+	default:
+		m.close(r, sched.EndWorkerGone, "")
+	}
+}
+
 // startAccepted records that the worker has the run.
 func (m *Machine) startAccepted(r *run) {
 	r.worker.contactAt = m.now
--- /dev/null
+++ b/pkg/sched/flow/workread_test.go
@@ -0,0 +1,94 @@
+package flow_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mangoslip/mangoslip/pkg/sched"
+	"github.com/mangoslip/mangoslip/pkg/sched/flow"
+)
+
+// newLeaderWithWork returns a leader of one worker that has read the work.
+func newLeaderWithWork() *leaderOfOne {
+	l := newLeaderOfOne()
+	l.update(flow.WorkReadMsg{Asked: l.now})
+	l.now = l.now.Add(100 * time.Millisecond)
+	return l
+}
+
+// Guards against starts while cancellations may be unknown that the store has acknowledged.
+func TestStartsNeedRecentWork(t *testing.T) {
+	l := newLeaderWithWork()
+	l.now = l.now.Add(1700 * time.Millisecond)
+	l.update(flow.ConfirmedMsg{Asked: l.now})
+	starts, _ := l.submit("1")
+	require.Empty(t, starts)
+	starts, _ = l.update(flow.WorkReadMsg{Asked: l.now})
+	require.Len(t, starts, 1)
+}
+
+// Guards against tasks that wait for the end of an outage in which nobody can record a cancellation.
+func TestStartsContinueDuringOutage(t *testing.T) {
+	l := newLeaderWithWork()
+	l.now = l.now.Add(1900 * time.Millisecond)
+	starts, _ := l.submit("1")
+	require.Len(t, starts, 1)
+	l.now = l.now.Add(50 * time.Millisecond)
+	l.update(flow.StoreAnsweredMsg{At: l.now})
+	starts, _ = l.submit("2")
+	require.Empty(t, starts, "the store answers another entry")
+}
+
+// Guards against a start that is repeated although the job may have been cancelled.
+func TestStartIsNotRepeatedOnOldWork(t *testing.T) {
+	l := newLeaderWithWork()
+	starts, _ := l.submit("1")
+	require.Len(t, starts, 1)
+	l.now = l.now.Add(1700 * time.Millisecond)
+	l.update(flow.ConfirmedMsg{Asked: l.now})
+	starts, _ = l.update(flow.StartResultMsg{Result: flow.Result{Worker: "w", Sent: l.now, Err: sched.ErrLost}, Run: starts[0].Order.Run})
+	require.Empty(t, starts)
+}
+
+// Guards against a withdrawn start that leaves its capacity in use or ends a run.
+func TestWithdrawnStart(t *testing.T) {
+	withdraw := func(l *leaderOfOne, c flow.StartCmd) (starts []flow.StartCmd) {
+		starts, _ = l.update(flow.StartResultMsg{
+			Result: flow.Result{Worker: "w", Sent: l.now, Err: flow.ErrWithdrawn}, Run: c.Order.Run,
+		})
+		return starts
+	}
+	t.Run("never sent", func(t *testing.T) {
+		l := newLeaderWithWork()
+		starts, _ := l.submit("1")
+		require.True(t, l.m.Wanted("w", starts[0].Order.Run))
+		l.now = l.now.Add(100 * time.Millisecond)
+		again := withdraw(l, starts[0])
+		require.False(t, l.m.Wanted("w", starts[0].Order.Run))
+		require.Len(t, again, 1)
+		require.Greater(t, again[0].Order.Run.Number, starts[0].Order.Run.Number)
+	})
+	t.Run("cancelled", func(t *testing.T) {
+		l := newLeaderWithWork()
+		starts, _ := l.submit("1")
+		l.update(flow.CancelMsg{Job: "1", Recorded: l.now.UnixMilli()})
+		require.False(t, l.m.Wanted("w", starts[0].Order.Run))
+		require.Empty(t, withdraw(l, starts[0]))
+		require.Zero(t, l.m.Totals().Runs)
+	})
+	t.Run("an earlier copy runs", func(t *testing.T) {
+		l := newLeaderWithWork()
+		starts, _ := l.submit("1")
+		lost := flow.Result{Worker: "w", Sent: l.now, Err: sched.ErrLost}
+		repeated, _ := l.update(flow.StartResultMsg{Result: lost, Run: starts[0].Order.Run})
+		require.Len(t, repeated, 1)
+		l.now = l.now.Add(100 * time.Millisecond)
+		l.update(sched.TickMsg{})
+		l.report(sched.RenewReport{Running: []sched.RunReport{{Run: starts[0].Order.Run}}})
+		require.False(t, l.m.Wanted("w", starts[0].Order.Run))
+		require.Empty(t, withdraw(l, repeated[0]))
+		require.Equal(t, 1, l.m.Totals().Runs)
+	})
+}
