--- a/pkg/sched/flow/single_test.go
+++ b/pkg/sched/flow/single_test.go
@@ -15,10 +15,11 @@
 type leaderOfOne struct {
 	m   *flow.Machine
 	now time.Time
-	// waiting is the renewal that waits for the end of a run, and throttles holds
-	// the throttle orders.
+	// waiting is the renewal that waits for the end of a run. throttles and stops
+	// hold the throttle and stop orders.
 	waiting   flow.RenewCmd
 	throttles []sched.ThrottleOrder
+	stops     []sched.StopOrder
 	// runs holds the runs that were started with start.
 	runs []sched.Run
 }
@@ -47,6 +48,8 @@
 			starts = append(starts, c)
 		case flow.ThrottleCmd:
 			l.throttles = append(l.throttles, c.Order)
+		case flow.StopCmd:
+			l.stops = append(l.stops, c.Order)
 		case flow.RenewCmd:
 			if c.Order.HasDeadline {
 				extended = append(extended, c)
--- a/pkg/sched/flow/workread_test.go
+++ b/pkg/sched/flow/workread_test.go
@@ -89,6 +89,7 @@
 		l.report(sched.RenewReport{Running: []sched.RunReport{{Run: starts[0].Order.Run}}})
 		require.False(t, l.m.Wanted("w", starts[0].Order.Run))
 		require.Empty(t, withdraw(l, repeated[0]))
+		require.Empty(t, l.stops)
 		require.Equal(t, 1, l.m.Totals().Runs)
 	})
 }
