--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -104,7 +104,7 @@
 	return &Transport{rt: rt}
 }
 
-// Close closes the idle connections.
+// Close closes the idle connections. The transport can still be used.
 func (t *Transport) Close() { t.rt.CloseIdleConnections() }
 
 // Do sends one request. An error wraps [sched.ErrUnavailable] if certainly no byte
