Record the leader that another entry names to a leader without the store

Cause: a leader that has not read the work asks other entries when the store answered them. Their answers name the newest leader that they know, and the answer was used for the time only. A leader that is cut off from the store and missed the announcement of its successor kept issuing orders although it had been told.

Change: the leader that an answer names is recorded, which ends an older term.

Result: TestPeerContactNamesNewerLeader failed before and passes.

--- a/internal/daemon/contact.go
+++ b/internal/daemon/contact.go
@@ -37,10 +37,14 @@
 	return since, known
 }
 
-// askForContact asks an entry how long ago the store last answered it. If it does
-// not answer, the answer says nothing about the store.
+// askForContact asks an entry how long ago the store last answered it, and records
+// the leader that it names. If it does not answer, the answer says nothing about the
+// store.
 func (e *Entry) askForContact(ctx context.Context, p layout.Entry) relay.Answer {
 	a, err := e.client.Ask(ctx, p.Addr, relay.Question{Verb: relay.VerbLeader, Leader: e.leader.Current()})
 	e.log.Debug("asked for contact with the store", "peer", p.Name, "answered", a.StoreAnswered, "since", a.SinceStore, "error", err)
+	if err == nil {
+		e.leader.ObserveLeader(a.Leader)
+	}
 	return a
 }
--- a/internal/daemon/contact_test.go
+++ b/internal/daemon/contact_test.go
@@ -49,3 +49,12 @@
 	require.True(t, known)
 	require.Equal(t, time.Second, since)
 }
+
+// Guards against a leader without the store that issues orders although it could know its successor.
+func TestPeerContactNamesNewerLeader(t *testing.T) {
+	e := newEntry(nil)
+	next := layout.Leader{Name: "a", Term: 7}
+	e.peers.update([]layout.Entry{{Name: "a", Addr: servePeer(t, relay.Answer{Leader: next})}}, time.Now())
+	e.sincePeerContact(t.Context())
+	require.Equal(t, next, e.leader.Current())
+}
