Check starts against cancellations in the soak and silence its connections

The soak could not notice it: it cancelled jobs without telling the emulated workers, and its proxies cut, delayed and reset connections but silenced none.

Change: the workers know the acknowledged cancellations and check their starts against them, a quarter of the jobs are cancelled as soon as they are accepted, and connections to the store go silent at one or at all entries. Late starts are excused while a process is paused or the store is down, and for 3 s afterwards.

--- a/internal/emul/emul.go
+++ b/internal/emul/emul.go
@@ -51,6 +51,8 @@
 	longestMiss time.Duration
 	// storeDownChanged is when the store last failed or recovered.
 	storeDownChanged time.Time
+	// startsExcusedUntil is until when late starts of cancelled jobs are excused.
+	startsExcusedUntil time.Time
 
 	// Interferes reports whether a best-effort image interferes with a
 	// latency-critical one. By default it does if the last bytes of their names
@@ -223,8 +225,11 @@
 	return j
 }
 
-// Cancel stores the cancellation of a job.
+// Cancel stores the cancellation of a job. Later calls change nothing.
 func (e *Emulator) Cancel(j *Job) {
+	if !j.Cancelled.IsZero() {
+		return
+	}
 	j.Cancelled = e.now
 	for _, l := range e.leaders {
 		l.deliverChange(flow.CancelMsg{Job: j.Spec.ID, Recorded: j.Cancelled.UnixMilli()})
--- a/internal/emul/oracle.go
+++ b/internal/emul/oracle.go
@@ -55,7 +55,7 @@
 	if !r.spec.Perpetual && limit > 0 && max(r.job.ackedFailures[t], r.job.ackedFailures[gangCountKey(t)]) >= limit {
 		e.violate("%s starts after %d failures", taskName(t), r.job.ackedFailures[t])
 	}
-	if !r.job.Cancelled.IsZero() && e.now.Sub(r.job.Cancelled) > cancelBound && e.storeAnswers() {
+	if !r.job.Cancelled.IsZero() && e.now.Sub(r.job.Cancelled) > cancelBound && e.cancellationsKnown() {
 		e.violate("%s starts %s after its cancellation", taskName(t), e.now.Sub(r.job.Cancelled))
 	}
 }
@@ -93,10 +93,19 @@
 	return false
 }
 
-// storeAnswers reports whether the store has not been down for at least cancelBound.
-// Otherwise no leader may know of a cancellation yet.
-func (e *Emulator) storeAnswers() bool {
-	return !e.store.down && e.now.Sub(e.storeDownChanged) >= cancelBound
+// cancellationsKnown reports whether leaders have to know the cancellations that are
+// older than cancelBound. They need not if the store was down meanwhile, or if
+// starts are excused.
+func (e *Emulator) cancellationsKnown() bool {
+	return !e.store.down && e.now.Sub(e.storeDownChanged) >= cancelBound && !e.now.Before(e.startsExcusedUntil)
+}
+
+// ExcuseStarts excuses late starts of cancelled jobs for d, because of a fault that
+// the emulator does not know of.
+func (e *Emulator) ExcuseStarts(d time.Duration) {
+	if until := e.now.Add(d); until.After(e.startsExcusedUntil) {
+		e.startsExcusedUntil = until
+	}
 }
 
 // cancelBound is how long after a cancellation tasks of the job may still start.
--- a/internal/soak/client_test.go
+++ b/internal/soak/client_test.go
@@ -82,8 +82,8 @@
 }
 
 // submit submits a job and retries at other entries until it is accepted, at
-// most the given number of times.
-func (c *callers) submit(seed int, tries int) {
+// most the given number of times. With cancel set, it cancels the accepted job.
+func (c *callers) submit(seed, tries int, cancel bool) {
 	c.mu.Lock()
 	c.lastNumber++
 	n := c.lastNumber
@@ -116,14 +116,19 @@
 	c.mu.Lock()
 	c.submissions = append(c.submissions, o)
 	c.mu.Unlock()
+	if cancel && !o.accepted.IsZero() {
+		c.cancel(o, n)
+	}
 }
 
-// cancel cancels an accepted job.
+// cancel cancels an accepted job. The emulated workers check their starts against
+// the time of the acknowledgement.
 func (c *callers) cancel(o *submission, entry int) {
 	if status, _ := c.call(entry, http.MethodDelete, o.id, ""); status == http.StatusOK {
 		c.mu.Lock()
 		o.cancelled = true
 		c.mu.Unlock()
+		c.s.With(func(e *emul.Emulator) { e.Cancel(o.job) })
 	}
 }
 
@@ -157,10 +162,10 @@
 	if final(o.state) {
 		o.finalAt = time.Now()
 	}
-	switch {
-	case in.State == "failed":
+	switch in.State {
+	case "failed":
 		c.violations = append(c.violations, fmt.Sprintf("job %s is reported as failed, but none of its tasks fails", o.id))
-	case in.State == "cancelled" && !o.cancelled && o.job.Cancelled.IsZero():
+	case "cancelled":
 		o.cancelled = true // The answer to a cancellation may have been lost.
 	}
 }
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -1,7 +1,7 @@
 // Package soak is a randomized fault test. It runs the real program as separate
 // processes on one machine, against an emulated platform, and injects faults. A
-// loopback proxy for each entry cuts, delays or resets the connections to the
-// store. Signals pause, stop and kill processes, which are started again.
+// loopback proxy for each entry cuts, delays, resets or silences the connections to
+// the store. Signals pause, stop and kill processes, which are started again.
 // Workers crash, answers are lost, and keys and the history of the store are
 // removed. Meanwhile callers submit and cancel jobs and ask for their states.
 // The test checks the guarantees against what callers and workers saw.
--- a/internal/soak/proc_test.go
+++ b/internal/soak/proc_test.go
@@ -22,20 +22,31 @@
 
 // proxy forwards the connections of one entry to the store. While cut is set it
 // holds data back; delay is the additional time in nanoseconds for each read.
+// Connections that were silenced forward nothing any more, and stay open.
 type proxy struct {
 	l     net.Listener
 	to    string
 	cut   atomic.Bool
 	delay atomic.Int64
 
-	mu    sync.Mutex
-	conns map[net.Conn]bool
+	mu sync.Mutex
+	// conns holds the open connections, and whether they were silenced.
+	conns map[net.Conn]connState
 }
 
+// connState is the state of a connection of a proxy.
+type connState uint8
+
+const (
+	connClosed connState = iota
+	connOpen
+	connSilent
+)
+
 func newProxy(t *testing.T, to netip.AddrPort) *proxy {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	p := &proxy{l: l, to: to.String(), conns: map[net.Conn]bool{}}
+	p := &proxy{l: l, to: to.String(), conns: map[net.Conn]connState{}}
 	go p.accept()
 	t.Cleanup(func() { _ = l.Close(); p.reset() })
 	return p
@@ -60,7 +71,7 @@
 		return
 	}
 	p.mu.Lock()
-	p.conns[c], p.conns[up] = true, true
+	p.conns[c], p.conns[up] = connOpen, connOpen
 	p.mu.Unlock()
 	go p.copy(up, c)
 	p.copy(c, up)
@@ -72,9 +83,9 @@
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
-		for p.cut.Load() && err == nil {
+		for err == nil && (p.cut.Load() || p.state(from) == connSilent) {
 			time.Sleep(10 * time.Millisecond)
-			if !p.isOpen(from) {
+			if p.state(from) == connClosed {
 				return
 			}
 		}
@@ -95,13 +106,22 @@
 	}
 }
 
-// isOpen reports whether the proxy still has the connection.
-func (p *proxy) isOpen(c net.Conn) bool {
+// state returns the state of a connection.
+func (p *proxy) state(c net.Conn) connState {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.conns[c]
 }
 
+// silence silences the open connections. Later ones are not affected.
+func (p *proxy) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		p.conns[c] = connSilent
+	}
+}
+
 // reset closes all connections.
 func (p *proxy) reset() {
 	p.mu.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -27,6 +27,9 @@
 	// may take to finish after that.
 	faultSpan   = 10 * time.Second
 	finishLimit = 40 * time.Second
+	// excuseAfterFault is how long after some faults late starts of cancelled jobs
+	// are excused.
+	excuseAfterFault = 3 * time.Second
 )
 
 // seeds returns the seeds to run.
@@ -90,7 +93,8 @@
 }
 
 // runCallers submits jobs at random intervals, and asks for and cancels some of
-// them, until done is closed.
+// them, until done is closed. Some are cancelled as soon as they are accepted, when
+// the leader may not know them yet.
 func runCallers(c *callers, seed int, done chan struct{}) {
 	r := rand.New(rand.NewPCG(uint64(seed), 2))
 	for {
@@ -99,7 +103,7 @@
 			return
 		case <-time.After(time.Duration(60+r.IntN(60)) * time.Millisecond):
 		}
-		go c.submit(seed, 6)
+		go c.submit(seed, 6, r.IntN(4) == 0)
 		for _, o := range c.unfinished() {
 			if r.IntN(8) == 0 {
 				go c.ask(o, r.IntN(entries))
@@ -186,6 +190,7 @@
 		{"term", func() { p.signal(syscall.SIGTERM) }},
 		{"hup", func() { p.signal(syscall.SIGHUP) }},
 		{"pause", func() {
+			f.excuseStarts(span)
 			p.signal(syscall.SIGSTOP)
 			time.AfterFunc(span, func() { p.signal(syscall.SIGCONT) })
 		}},
@@ -203,7 +208,14 @@
 			time.AfterFunc(span, func() { p.proxy.delay.Store(0) })
 		}},
 		{"reset", p.proxy.reset},
+		{"silence", p.proxy.silence},
+		{"silenceAll", func() {
+			for _, x := range f.procs {
+				x.proxy.silence()
+			}
+		}},
 		{"storeDown", func() {
+			f.excuseStarts(span)
 			f.s.Store.SetDown(true)
 			time.AfterFunc(span, func() { f.s.Store.SetDown(false) })
 		}},
@@ -228,6 +240,13 @@
 	k.begin()
 }
 
+// excuseStarts excuses late starts of cancelled jobs for the time of a fault and a
+// while after it: an entry that was paused may still send an order, and nobody
+// learns of a cancellation that was recorded just before an outage of the store.
+func (f *faults) excuseStarts(span time.Duration) {
+	f.s.With(func(e *emul.Emulator) { e.ExcuseStarts(span + excuseAfterFault) })
+}
+
 // endAll ends all faults that have a duration.
 func (f *faults) endAll() {
 	for _, p := range f.procs {
