Let the age of the work decide about starts, also after a suspension

Cause: tasks were started while the last read of the jobs and cancellations was not much older than the store's last answer. After a suspension both are equally old, so the leader started tasks on work of any age until the store answered: workers answer first. A leader that reached neither the store nor another entry took that for an outage. Whether a start was still wanted was judged by the permission of the last message. If one of the asked entries did not answer, the others' answers counted 500 ms later.

Change: the age of the last read decides. On older work tasks are started only if at least half of the asked entries said within the last second that the store has answered nobody since. Each answer counts as it arrives, up to eight entries are asked, and a start is judged at the time at which it is sent. A watch whose predecessor is overdue does not wait for a change.

TestStartsContinueDuringOutage expected starts on work of 1.9 s without the word of another entry. It is replaced by TestStartsDuringOutage, which expects none then and one after the entries have answered. Its last check passed because the term was not confirmed any more; the new one starts a task at the end. TestJobAndCancellationArriveTogether passed without the order that it guards, since unwanted starts are not sent; it now checks that none is ordered.

Result: TestSuspendedLeaderStartsNoCancelledTask, TestStartsDuringOutage and TestWithdrawnStart/suspended fail with the old condition. TestOldAnswerOfAWatchIsNotRecent fails if a read counts from its answer, TestTasksStartDuringOutage if other entries are not asked. All pass, and TestSlowStoreDoesNotHoldStarts with calls of 0.5 s.

--- a/internal/daemon/contact_test.go
+++ b/internal/daemon/contact_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/mangoslip/mangoslip/internal/layout"
 	"github.com/mangoslip/mangoslip/internal/relay"
+	"github.com/mangoslip/mangoslip/pkg/sched"
 )
 
 // answerer answers every question with the same answer.
@@ -30,31 +31,63 @@
 	return netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
 }
 
-// Guards against a leader without the store that overlooks an entry with a recent answer.
-func TestMostRecentPeerContact(t *testing.T) {
-	e := newEntry(nil)
-	_, known := e.sincePeerContact(t.Context())
-	require.False(t, known, "no entry is known")
-
-	noContact := layout.Entry{Name: "a", Addr: servePeer(t, relay.Answer{})}
-	unresponsive := entryOf("b", 1, 1)
-	e.peers.update([]layout.Entry{noContact, unresponsive}, time.Now())
-	_, known = e.sincePeerContact(t.Context())
-	require.False(t, known, "no entry has had an answer")
-
-	old := layout.Entry{Name: "c", Addr: servePeer(t, relay.Answer{StoreAnswered: true, SinceStore: time.Minute})}
-	recent := layout.Entry{Name: "d", Addr: servePeer(t, relay.Answer{StoreAnswered: true, SinceStore: time.Second})}
-	e.peers.update([]layout.Entry{old, recent}, time.Now())
-	since, known := e.sincePeerContact(t.Context())
-	require.True(t, known)
-	require.Equal(t, time.Second, since)
+// contact is what other entries told about the store.
+type contact struct {
+	since    []time.Duration
+	answered bool
+}
+
+// collect collects the answers of other entries. The zero value is no answer.
+func collect(t *testing.T, answers ...relay.Answer) (c contact) {
+	arriving := make(chan relay.Answer, len(answers))
+	for _, a := range answers {
+		arriving <- a
+	}
+	c.answered = collectContact(t.Context(), arriving, len(answers), func(since time.Duration) { c.since = append(c.since, since) })
+	return c
+}
+
+func TestCollectContact(t *testing.T) {
+	recent := relay.Answer{StoreAnswered: true, SinceStore: time.Second}
+	old := relay.Answer{StoreAnswered: true, SinceStore: time.Minute, Reason: sched.ReasonStoreUnavailable}
+	noContact := relay.Answer{Reason: sched.ReasonStoreUnavailable}
+	none := relay.Answer{}
+	// Guards against a leader that overlooks an entry with a recent answer of the store.
+	t.Run("every answer is reported", func(t *testing.T) {
+		require.Equal(t, contact{[]time.Duration{time.Minute, time.Second}, true}, collect(t, old, recent, noContact))
+	})
+	// Guards against a leader that takes the store to be down because it reaches few entries.
+	t.Run("most entries do not answer", func(t *testing.T) {
+		require.Equal(t, contact{}, collect(t, noContact, none, none))
+		require.Equal(t, contact{nil, true}, collect(t, noContact, none))
+	})
+	// Guards against a negative age, which would hold starts for its whole length.
+	t.Run("negative age", func(t *testing.T) {
+		require.Equal(t, contact{[]time.Duration{0}, true}, collect(t, relay.Answer{StoreAnswered: true, SinceStore: -time.Hour}))
+	})
+	// Guards against a report that comes late because another entry does not answer.
+	t.Run("reported as they arrive", func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		answers := make(chan relay.Answer, 1)
+		answers <- recent
+		var since []time.Duration
+		collectContact(ctx, answers, 2, func(s time.Duration) {
+			since = append(since, s)
+			cancel() // The second answer never comes.
+		})
+		require.Equal(t, []time.Duration{time.Second}, since)
+	})
+}
+
+// Guards against a single entry that starts no tasks while the store is down.
+func TestNoOtherEntryToAsk(t *testing.T) {
+	require.True(t, newEntry(nil).askPeersForContact(t.Context(), func(time.Duration) {}))
 }
 
 // Guards against a leader without the store that issues orders although it could know its successor.
 func TestPeerContactNamesNewerLeader(t *testing.T) {
 	e := newEntry(nil)
 	next := layout.Leader{Name: "a", Term: 7}
-	e.peers.update([]layout.Entry{{Name: "a", Addr: servePeer(t, relay.Answer{Leader: next})}}, time.Now())
-	e.sincePeerContact(t.Context())
+	e.askForContact(t.Context(), layout.Entry{Name: "a", Addr: servePeer(t, relay.Answer{Leader: next})})
 	require.Equal(t, next, e.leader.Current())
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -116,7 +116,7 @@
 	p.Leader.Name, p.Leader.Addr = s.Name, s.Peer
 	e.leader = leader.New(p.Leader, p.Store, p.Orders, leader.WithLogger(e.log), leader.WithStats(e.stats),
 		leader.WithAnnouncer(e.announce), leader.WithDispatchers(e.termOrders), leader.WithAdviser(newAdviserPool(e)),
-		leader.WithReachable(e.peerReachesStore), leader.WithPeerContact(e.sincePeerContact))
+		leader.WithReachable(e.peerReachesStore), leader.WithAskPeers(e.askPeersForContact))
 	e.jobs = jobs.New(p.Store, e.leader, (*asker)(e), jobs.WithLogger(e.log), jobs.WithAdviser(p.Adviser))
 	return e
 }
--- a/internal/emul/store.go
+++ b/internal/emul/store.go
@@ -184,6 +184,7 @@
 		if !e.store.down {
 			l.post(flow.StoreAnsweredMsg{At: e.now.Add(-confirmEvery)})
 		}
+		l.post(flow.PeersAskedMsg{Asked: e.now})
 	})
 	return l
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -52,11 +52,13 @@
 	// read a short time ago.
 	watchWait     = 3 * time.Second
 	workWatchWait = 400 * time.Millisecond
-	// maxWorkAge is the age of the last complete read of the jobs and cancellations
-	// beyond which the leader finds out at intervals of storeCheckInterval whether
-	// the store answers it or another entry.
-	maxWorkAge         = 3 * workWatchWait
-	storeCheckInterval = 400 * time.Millisecond
+	// overdueWorkAge is the age of the last complete read of the jobs and
+	// cancellations beyond which the next watch does not wait for a change.
+	// Beyond maxWorkAge the leader asks other entries, at intervals of
+	// peerCheckInterval, whether the store answers them.
+	overdueWorkAge    = 2 * workWatchWait
+	maxWorkAge        = 3 * workWatchWait
+	peerCheckInterval = 300 * time.Millisecond
 	// retryPause is the first pause after a failed call, retryMaxPause the
 	// longest, and retryJitter the random fraction of a pause.
 	retryPause    = 150 * time.Millisecond
@@ -111,10 +113,8 @@
 	adviser       sched.Adviser
 	// reachable reports whether another entry answers and can reach the store.
 	reachable func(ctx context.Context, e layout.Entry) bool
-	// sincePeerContact returns how long ago the store last answered another entry,
-	// and whether that is known.
-	sincePeerContact func(ctx context.Context) (time.Duration, bool)
-	now              func() time.Time
+	askPeers  AskPeers
+	now       func() time.Time
 
 	mu          sync.Mutex
 	knownLeader layout.Leader
@@ -155,12 +155,14 @@
 	return func(x *Leader) { x.reachable = f }
 }
 
-// WithPeerContact sets the function that asks other entries how long ago the store
-// last answered one of them. Without it a leader that is cut off from the store
-// takes the store to be down for all entries.
-func WithPeerContact(f func(ctx context.Context) (time.Duration, bool)) Option {
-	return func(x *Leader) { x.sincePeerContact = f }
-}
+// AskPeers asks other entries how long ago the store last answered them, and calls
+// report with each answer. It returns whether at least half of them answered, or
+// there is no other entry. If fewer answer, the asking entry itself may be cut off.
+type AskPeers func(ctx context.Context, report func(since time.Duration)) bool
+
+// WithAskPeers sets the function that asks other entries about the store. Without it
+// a leader that is cut off from the store takes the store to be down for all entries.
+func WithAskPeers(f AskPeers) Option { return func(x *Leader) { x.askPeers = f } }
 
 // WithClock sets the function that returns the current time; the default is
 // [clock.Now]. The time has to advance while the process does not run.
@@ -174,8 +176,8 @@
 	l := &Leader{
 		Settings: s, store: store, orders: orders, log: slog.New(slog.DiscardHandler),
 		stats: stats.New(), ttl: defaultTTL, announce: func(layout.Leader) {},
-		reachable:        func(context.Context, layout.Entry) bool { return false },
-		sincePeerContact: func(context.Context) (time.Duration, bool) { return 0, false }, now: clock.Now,
+		reachable: func(context.Context, layout.Entry) bool { return false },
+		askPeers:  func(context.Context, func(time.Duration)) bool { return true }, now: clock.Now,
 	}
 	for _, o := range opts {
 		o(l)
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -248,7 +248,7 @@
 	l := leader.New(leader.Settings{
 		Name: sched.EntryName(name), Processors: processors, MembersPrefix: membersPrefix, DecodeMembers: c.decodeMembers,
 		MachineOptions: []flow.Option{flow.WithWallClock(c.wallMillis)},
-	}, client, c.workers, leader.WithAdviser(c.adviser), leader.WithClock(c.now), leader.WithLogger(slog.New(slog.NewTextHandler(&c.log, nil))), leader.WithReachable(c.reachable), leader.WithPeerContact(c.sincePeerContact), leader.WithAnnouncer(func(v layout.Leader) {
+	}, client, c.workers, leader.WithAdviser(c.adviser), leader.WithClock(c.now), leader.WithLogger(slog.New(slog.NewTextHandler(&c.log, nil))), leader.WithReachable(c.reachable), leader.WithAskPeers(c.askPeers), leader.WithAnnouncer(func(v layout.Leader) {
 		for _, e := range c.entries {
 			if e.Current().Name != v.Name {
 				go e.ObserveLeader(v)
@@ -287,14 +287,14 @@
 	return false
 }
 
-// sincePeerContact reports an answer of the store just now, if it answers any entry.
-func (c *cluster) sincePeerContact(ctx context.Context) (time.Duration, bool) {
+// askPeers reports an answer of the store just now for each entry that it answers.
+func (c *cluster) askPeers(ctx context.Context, report func(since time.Duration)) bool {
 	for _, e := range c.entries {
 		if _, err := e.client.Get(ctx, layout.TermKey); err == nil {
-			return 0, true
+			report(0)
 		}
 	}
-	return 0, false
+	return true
 }
 
 // wallMillis is the wall clock of the state machines. They read it when they get a
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -18,8 +18,8 @@
 	retry := newStoreBackoff()
 	for t.ctx.Err() == nil {
 		wait := workWatchWait
-		if lost {
-			wait = 0 // What has changed meanwhile is needed at once.
+		if t.workAge() > overdueWorkAge {
+			wait = 0
 		}
 		asked := t.l.now()
 		var progress map[string]sched.Item
@@ -229,7 +229,7 @@
 }
 
 // maintainLease renews the leader's lease at intervals, and reads the term when
-// its last confirmation or the last read of the work is too old.
+// its last confirmation is too old.
 func (t *term) maintainLease() {
 	for t.ctx.Err() == nil {
 		pause(t.ctx, renewInterval)
@@ -237,7 +237,7 @@
 		t.mu.Lock()
 		age := t.l.now().Sub(t.confirmedAt)
 		t.mu.Unlock()
-		if age > maxConfirmationAge || t.workAge() > maxWorkAge {
+		if age > maxConfirmationAge {
 			t.confirmTerm()
 		}
 	}
@@ -255,13 +255,16 @@
 // have recorded cancellations that this leader does not know.
 func (t *term) checkPeerContact() {
 	for t.ctx.Err() == nil {
-		pause(t.ctx, storeCheckInterval)
+		pause(t.ctx, peerCheckInterval)
 		if t.workAge() <= maxWorkAge {
 			continue
 		}
 		asked := t.l.now()
-		if since, ok := t.l.sincePeerContact(t.ctx); ok {
+		answered := t.l.askPeers(t.ctx, func(since time.Duration) {
 			t.post(flow.StoreAnsweredMsg{At: asked.Add(-since)})
+		})
+		if answered {
+			t.post(flow.PeersAskedMsg{Asked: asked})
 		}
 	}
 }
--- a/internal/leader/send.go
+++ b/internal/leader/send.go
@@ -43,7 +43,7 @@
 func (t *term) wanted(cmd flow.StartCmd) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.machine.Wanted(cmd.Member.Worker, cmd.Order.Run)
+	return t.machine.Wanted(t.l.now(), cmd.Member.Worker, cmd.Order.Run)
 }
 
 func (t *term) stop(cmd flow.StopCmd) {
--- a/internal/leader/silent_test.go
+++ b/internal/leader/silent_test.go
@@ -1,6 +1,7 @@
 package leader_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,6 +35,7 @@
 	return n
 }
 
+// Guards against tasks that are started although a silent watch hides their cancellation.
 func TestSilentWatchStartsNoCancelledTask(t *testing.T) {
 	// The first step ends after the bound, so a late cancellation starts the second one.
 	const runTime = cancelBound + 400*time.Millisecond
@@ -78,7 +80,7 @@
 				time.Sleep(500 * time.Millisecond)
 				setFault(c.leading()[0].client, false)
 				time.Sleep(10 * time.Second)
-				require.Zero(t, c.startsOf("1", time.Time{}))
+				require.NotContains(t, c.log.String(), "start ordered")
 				require.Equal(t, sched.JobCancelled, c.state("1"))
 			})
 		})
@@ -132,3 +134,82 @@
 		require.Zero(t, c.startsOf("1", cancelled.Add(cancelBound)))
 	})
 }
+
+// Guards against tasks that a leader starts on old work as it resumes after a suspension.
+func TestSuspendedLeaderStartsNoCancelledTask(t *testing.T) {
+	const suspension = 5 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, 2*time.Second)
+		defer c.stopAll()
+		time.Sleep(time.Second)
+		c.submit("1")
+		time.Sleep(1900 * time.Millisecond)
+		store := c.leading()[0].client
+		// The workers answer before the store does.
+		store.SetDelay(250 * time.Millisecond)
+		store.SetWatchesSilent(true)
+		c.cancel("1")
+		c.suspended.Store(int64(suspension))
+		resumed := time.Now()
+		store.SetWatchesSilent(false)
+		time.Sleep(5 * time.Second)
+		require.Zero(t, c.startsOf("1", resumed))
+		require.Equal(t, sched.JobCancelled, c.state("1"))
+	})
+}
+
+// Guards against tasks that wait for the end of an outage of the store.
+func TestTasksStartDuringOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const runTime = 3 * time.Second
+		c := newCluster(t, 2, runTime)
+		defer c.stopAll()
+		time.Sleep(time.Second)
+		c.submit("1")
+		time.Sleep(100 * time.Millisecond)
+		c.store.SetDown(true)
+		down := time.Now()
+		time.Sleep(runTime + 500*time.Millisecond)
+		require.Positive(t, c.startsOf("1", down.Add(cancelBound/2)))
+	})
+}
+
+// Guards against an answer that was sent before a suspension and counts as recent afterwards.
+func TestOldAnswerOfAWatchIsNotRecent(t *testing.T) {
+	for phase := range 12 {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, 1, 2*time.Second)
+			defer c.stopAll()
+			time.Sleep(time.Second)
+			store := c.leading()[0].client
+			store.SetAnswerDelay(200 * time.Millisecond)
+			c.submit("1")
+			time.Sleep(1500*time.Millisecond + time.Duration(phase)*50*time.Millisecond)
+			c.cancel("1")
+			c.suspended.Store(int64(5 * time.Second))
+			resumed := time.Now()
+			time.Sleep(5 * time.Second)
+			require.Zero(t, c.startsOf("1", resumed))
+		})
+	}
+}
+
+// Guards against a slow store that keeps the leader from starting tasks.
+func TestSlowStoreDoesNotHoldStarts(t *testing.T) {
+	for _, delay := range []time.Duration{250 * time.Millisecond, 500 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 1, 300*time.Millisecond)
+				defer c.stopAll()
+				time.Sleep(time.Second)
+				c.leading()[0].client.SetDelay(delay)
+				for i := range 10 {
+					c.submit(sched.JobID(fmt.Sprint(i)))
+					time.Sleep(time.Second)
+				}
+				time.Sleep(10 * time.Second)
+				require.NotContains(t, c.log.String(), "current=false")
+			})
+		})
+	}
+}
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -17,6 +17,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/mangoslip/mangoslip/pkg/sched"
@@ -75,6 +76,9 @@
 	// counts how often it was set.
 	silent   bool
 	silences int
+	// delay is the additional time of each call, answerDelay the additional time
+	// of a watch's answer, both in nanoseconds.
+	delay, answerDelay atomic.Int64
 }
 
 // Client returns a new client. Each process of a simulated deployment needs its
@@ -90,6 +94,12 @@
 	c.wake()
 }
 
+// SetDelay sets the additional time of each call.
+func (c *Client) SetDelay(d time.Duration) { c.delay.Store(int64(d)) }
+
+// SetAnswerDelay sets how long after they were formed the answers of watches arrive.
+func (c *Client) SetAnswerDelay(d time.Duration) { c.answerDelay.Store(int64(d)) }
+
 // SetWatchesSilent sets whether the client's watches get no answer, as if their
 // connections had gone silent. That holds for the watches in progress too, even
 // after it is unset. They fail with [sched.ErrLost] one second after their wait.
@@ -210,7 +220,7 @@
 	select {
 	case <-ctx.Done():
 		return errors.Join(sched.ErrUnavailable, ctx.Err())
-	case <-time.After(callDelay):
+	case <-time.After(callDelay + time.Duration(c.delay.Load())):
 	}
 	c.mu.Lock()
 	c.calls++
@@ -285,6 +295,7 @@
 		c.mu.Unlock()
 		left := time.Until(deadline)
 		if len(out) > 0 || left <= 0 {
+			time.Sleep(time.Duration(c.answerDelay.Load()))
 			return out, at, nil
 		}
 		select {
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -115,9 +115,11 @@
 	// known, another one.
 	storeAnsweredAt time.Time
 	// workReadAt is when the store was last asked for all jobs and cancellations
-	// and answered, zero if that is not reported. workIsCurrent means that it is
-	// recent enough to start tasks.
+	// and answered, zero if that is not reported. peersAskedAt is when other
+	// entries were last asked about the store and answered. workIsCurrent tells
+	// whether the work is known well enough to start tasks.
 	workReadAt    time.Time
+	peersAskedAt  time.Time
 	workIsCurrent bool
 	// mostAreSlow means that most workers answer late or not at all.
 	mostAreSlow bool
@@ -156,8 +158,9 @@
 	}
 	m.now, m.cmds = now, nil
 	// The process may have been paused since the last message, so that the
-	// permission has expired without a tick.
+	// permission or the knowledge of the work has expired without a tick.
 	m.updateMayIssueOrders()
+	m.updateWorkIsCurrent()
 	m.apply(msg)
 	if m.lost {
 		return m.cmds
@@ -185,8 +188,10 @@
 		m.noteStoreAnswered(msg.Asked)
 	case StoreAnsweredMsg:
 		m.noteStoreAnswered(msg.At)
+	case PeersAskedMsg:
+		m.notePeersAsked(msg.Asked)
 	case WorkReadMsg:
-		m.readWork(msg)
+		m.noteWorkRead(msg.Asked)
 	case TakeoverMsg:
 		m.takeOver(msg)
 	case RenewResultMsg:
--- a/pkg/sched/flow/start.go
+++ b/pkg/sched/flow/start.go
@@ -75,16 +75,17 @@
 // returned false.
 var ErrWithdrawn = errors.New("start is not wanted any more")
 
-// Wanted reports whether a start that was ordered should still be sent. Orders may
-// wait for some time before they are sent, and the job may have been cancelled
-// meanwhile.
-func (m *Machine) Wanted(worker sched.WorkerName, id sched.Run) bool {
+// Wanted reports whether a start that was ordered should still be sent at time now.
+// Orders may wait for some time before they are sent. Meanwhile the job may have
+// been cancelled, or the process suspended.
+func (m *Machine) Wanted(now time.Time, worker sched.WorkerName, id sched.Run) bool {
+	m.now = now
 	w := m.workers[worker]
 	if w == nil {
 		return false
 	}
 	r := w.runs[id]
-	return r != nil && r.state == runStarting && m.mayStart()
+	return r != nil && r.state == runStarting && m.allowedToIssueOrders() && m.knowsRecentWork()
 }
 
 // startWithdrawn handles a start that was not sent. An earlier copy may have been
--- a/pkg/sched/flow/workread_test.go
+++ b/pkg/sched/flow/workread_test.go
@@ -29,16 +29,38 @@
 	require.Len(t, starts, 1)
 }
 
-// Guards against tasks that wait for the end of an outage in which nobody can record a cancellation.
-func TestStartsContinueDuringOutage(t *testing.T) {
+// Guards against tasks that wait for the end of an outage in which nobody can record a
+// cancellation, and against starts on old work without the word of other entries.
+func TestStartsDuringOutage(t *testing.T) {
 	l := newLeaderWithWork()
-	l.now = l.now.Add(1900 * time.Millisecond)
+	l.now = l.now.Add(1600 * time.Millisecond)
 	starts, _ := l.submit("1")
+	require.Empty(t, starts, "the store may answer other entries")
+	l.update(flow.StoreAnsweredMsg{At: l.now.Add(-1600 * time.Millisecond)})
+	starts, _ = l.update(flow.PeersAskedMsg{Asked: l.now})
 	require.Len(t, starts, 1)
 	l.now = l.now.Add(50 * time.Millisecond)
 	l.update(flow.StoreAnsweredMsg{At: l.now})
+	l.update(flow.StoreAnsweredMsg{At: l.now.Add(-time.Minute)})
+	l.update(flow.PeersAskedMsg{Asked: l.now})
 	starts, _ = l.submit("2")
 	require.Empty(t, starts, "the store answers another entry")
+	starts, _ = l.update(flow.WorkReadMsg{Asked: l.now})
+	require.Len(t, starts, 1)
+}
+
+// Guards against starts after the process was suspended, when the work and the answers
+// of other entries are equally old.
+func TestSuspendedLeaderStartsNothingOnOldWork(t *testing.T) {
+	l := newLeaderWithWork()
+	l.update(flow.PeersAskedMsg{Asked: l.now})
+	asked := l.now
+	l.now = l.now.Add(5 * time.Second)
+	l.update(flow.StartResultMsg{Result: flow.Result{Worker: "w", Sent: l.now}})
+	starts, _ := l.submit("1")
+	require.Empty(t, starts)
+	starts, _ = l.update(flow.PeersAskedMsg{Asked: asked})
+	require.Empty(t, starts, "the entries were asked before")
 }
 
 // Guards against a start that is repeated although the job may have been cancelled.
@@ -63,10 +85,10 @@
 	t.Run("never sent", func(t *testing.T) {
 		l := newLeaderWithWork()
 		starts, _ := l.submit("1")
-		require.True(t, l.m.Wanted("w", starts[0].Order.Run))
+		require.True(t, l.m.Wanted(l.now, "w", starts[0].Order.Run))
 		l.now = l.now.Add(100 * time.Millisecond)
 		again := withdraw(l, starts[0])
-		require.False(t, l.m.Wanted("w", starts[0].Order.Run))
+		require.False(t, l.m.Wanted(l.now, "w", starts[0].Order.Run))
 		require.Len(t, again, 1)
 		require.Greater(t, again[0].Order.Run.Number, starts[0].Order.Run.Number)
 	})
@@ -74,20 +96,39 @@
 		l := newLeaderWithWork()
 		starts, _ := l.submit("1")
 		l.update(flow.CancelMsg{Job: "1", Recorded: l.now.UnixMilli()})
-		require.False(t, l.m.Wanted("w", starts[0].Order.Run))
+		require.False(t, l.m.Wanted(l.now, "w", starts[0].Order.Run))
 		require.Empty(t, withdraw(l, starts[0]))
 		require.Zero(t, l.m.Totals().Runs)
 	})
-	t.Run("an earlier copy runs", func(t *testing.T) {
+	t.Run("suspended", func(t *testing.T) {
 		l := newLeaderWithWork()
 		starts, _ := l.submit("1")
+		require.False(t, l.m.Wanted(l.now.Add(1600*time.Millisecond), "w", starts[0].Order.Run), "the work is old")
+		l.now = l.now.Add(5 * time.Second)
+		l.update(flow.WorkReadMsg{Asked: l.now})
+		require.False(t, l.m.Wanted(l.now.Add(5*time.Second), "w", starts[0].Order.Run), "the term is not confirmed")
+	})
+	// repeat returns a leader and the second copy of a start that got no answer.
+	repeat := func(t *testing.T) (l *leaderOfOne, starts, repeated []flow.StartCmd) {
+		l = newLeaderWithWork()
+		starts, _ = l.submit("1")
 		lost := flow.Result{Worker: "w", Sent: l.now, Err: sched.ErrLost}
-		repeated, _ := l.update(flow.StartResultMsg{Result: lost, Run: starts[0].Order.Run})
+		repeated, _ = l.update(flow.StartResultMsg{Result: lost, Run: starts[0].Order.Run})
 		require.Len(t, repeated, 1)
+		return l, starts, repeated
+	}
+	t.Run("an earlier copy may run", func(t *testing.T) {
+		l, _, repeated := repeat(t)
+		require.Empty(t, withdraw(l, repeated[0]))
+		require.Len(t, l.stops, 1)
+		require.Equal(t, 1, l.m.Totals().Runs)
+	})
+	t.Run("an earlier copy runs", func(t *testing.T) {
+		l, starts, repeated := repeat(t)
 		l.now = l.now.Add(100 * time.Millisecond)
 		l.update(sched.TickMsg{})
 		l.report(sched.RenewReport{Running: []sched.RunReport{{Run: starts[0].Order.Run}}})
-		require.False(t, l.m.Wanted("w", starts[0].Order.Run))
+		require.False(t, l.m.Wanted(l.now, "w", starts[0].Order.Run))
 		require.Empty(t, withdraw(l, repeated[0]))
 		require.Empty(t, l.stops)
 		require.Equal(t, 1, l.m.Totals().Runs)
