Resign if the lease can be renewed but the work cannot be read

Cause: a leader that does not read the jobs and cancellations starts no tasks. If its lease renewals still succeed, no other entry takes over, and nothing starts for as long as that lasts.

Change: a leader whose lease was renewed 5 s after its last read of the work resigns. In an outage and after a partition the lease is not renewed, so nothing changes then.

Result: TestLeaderThatDoesNotReadTheWorkResigns failed before (the job was queued after 20 s) and passes.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -59,6 +59,9 @@
 	overdueWorkAge    = 2 * workWatchWait
 	maxWorkAge        = 3 * workWatchWait
 	peerCheckInterval = 300 * time.Millisecond
+	// maxUnreadTime is how long the leader keeps renewing its lease without reading
+	// the jobs and cancellations.
+	maxUnreadTime = 5 * time.Second
 	// retryPause is the first pause after a failed call, retryMaxPause the
 	// longest, and retryJitter the random fraction of a pause.
 	retryPause    = 150 * time.Millisecond
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -229,14 +229,22 @@
 }
 
 // maintainLease renews the leader's lease at intervals, and reads the term when
-// its last confirmation is too old.
+// its last confirmation is too old. It resigns if the lease can be renewed for
+// maxUnreadTime while the work cannot be read: no other entry would take over, and
+// this one starts no tasks.
 func (t *term) maintainLease() {
 	for t.ctx.Err() == nil {
 		pause(t.ctx, renewInterval)
 		t.renewLease()
 		t.mu.Lock()
 		age := t.l.now().Sub(t.confirmedAt)
+		unread := t.renewedAt.Sub(t.workReadAt)
 		t.mu.Unlock()
+		if unread > maxUnreadTime {
+			t.l.log.Warn("jobs and cancellations cannot be read", "term", t.number, "for", unread)
+			t.resign(context.WithoutCancel(t.ctx), "jobs and cancellations cannot be read")
+			return
+		}
 		if age > maxConfirmationAge {
 			t.confirmTerm()
 		}
@@ -280,7 +288,13 @@
 		return
 	}
 	defer func() { t.lease <- lease }()
+	asked := t.l.now()
 	err := t.l.store.Renew(t.ctx, lease)
+	if err == nil {
+		t.mu.Lock()
+		t.renewedAt = asked
+		t.mu.Unlock()
+	}
 	if !errors.Is(err, sched.ErrNoLease) {
 		return // The next renewal follows soon, and other calls confirm the term.
 	}
--- a/internal/leader/silent_test.go
+++ b/internal/leader/silent_test.go
@@ -213,3 +213,15 @@
 		})
 	}
 }
+
+// Guards against a leader that keeps its lease and starts nothing because its watches get no answer.
+func TestLeaderThatDoesNotReadTheWorkResigns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, time.Second)
+		defer c.stopAll()
+		time.Sleep(time.Second)
+		c.leading()[0].client.SetWatchesSilent(true)
+		c.submit("1")
+		c.requireDone("1", 20*time.Second)
+	})
+}
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -48,6 +48,9 @@
 	// workReadAt is the start of the most recent call to the store that completed
 	// the jobs and cancellations that the state machine knows.
 	workReadAt time.Time
+	// renewedAt is the start of the most recent call that renewed the leader's
+	// lease.
+	renewedAt time.Time
 	// loggedInvalid holds the keys of the register of workers that have been
 	// logged as invalid.
 	loggedInvalid map[string]bool
