Let starts expire on the clock of their dispatcher

What callers saw: nothing yet; found in review.

Cause: the timeout of a dispatched order counted from its receipt by the dispatcher. A batch whose bytes are held up for seconds, or that a suspended dispatcher or leader handles seconds late, was still carried out. The leader had given the starts up, and their jobs may have been cancelled meanwhile. The worker does not refuse such a start, because its deadline is that of the lease.

Change: the answers of a dispatcher have an id of its process and a reading of its clock, which advances while the process does not run. The leader computes the expiry of a start on that clock from the deadline of the call and the last reading, and the dispatcher drops the start after its expiry as not sent. It also drops a start whose expiry refers to an earlier process, and ends the exchange with the worker when the leader gives the start up. Starts wait for a reading if none is known, if the last one is older than a minute, or if it was taken across a suspension of the leader. The expiry can be too late by the time that the batch of the reading took to the dispatcher, at most 0.4 s. Dispatchers of an older build return no reading and send starts as before. Other orders are unchanged. The pool's clock is clock.Now.

TestDispatcherFails and TestPanicCostsOneOrder/in_the_pool now send a start before the dispatcher fails. They require that an order in a batch that failed counts as lost. The first batch of a link no longer has starts, so a start that waits for it is certainly not sent (TestFirstBatchIsHeldUp). Their assertions are the same, with one more dispatched start counted in the first.

Result: TestBatchIsHeldUp failed before (a start 4 s late) and passes.

--- a/internal/orders/dispatcher.go
+++ b/internal/orders/dispatcher.go
@@ -9,9 +9,17 @@
 // through the same dispatcher as long as that one answers and no dispatcher is
 // added.
 //
-// Correctness does not depend on dispatchers: orders have the leader's fencing
-// token and a deadline on the worker's clock. An order whose answer does not come
-// back in time counts as lost, which means that it may have been carried out.
+// An order whose answer does not come back in time counts as lost, which means that
+// it may have been carried out. Orders have the leader's fencing token, and lease
+// renewals have a deadline on the worker's clock. A stop that arrives late does no
+// harm.
+//
+// A start that arrives late may be one of a job that has been cancelled meanwhile.
+// It therefore expires on the clock of the dispatcher, whose readings are in the
+// answers to batches. A start that was held up, on the way or in a process that did
+// not run, is dropped if the dispatcher is about to send it more than batchTimeout
+// after the deadline of the leader's call. Dispatchers of an older build do not
+// return readings, and send starts however late they arrive.
 //
 // # Usage
 //
@@ -22,6 +30,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -32,6 +41,7 @@
 	"connectrpc.com/connect"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/mangoslip/mangoslip/internal/clock"
 	"github.com/mangoslip/mangoslip/internal/guard"
 	"github.com/mangoslip/mangoslip/internal/wire"
 	"github.com/mangoslip/mangoslip/pkg/sched"
@@ -41,7 +51,8 @@
 // the format between entries.
 const procedure = "/mangoslip.Relay/Carry"
 
-// Order is an order to a worker. Exactly one of the pointers is set.
+// Order is an order to a worker. Exactly one of the pointers is set. Timeout counts
+// from the receipt by the dispatcher.
 type Order struct {
 	ID       uint64               `cbor:"1,keyasint"`
 	Worker   sched.WorkerName     `cbor:"2,keyasint"`
@@ -51,6 +62,9 @@
 	Stop     *sched.StopOrder     `cbor:"6,keyasint,omitempty"`
 	Throttle *sched.ThrottleOrder `cbor:"7,keyasint,omitempty"`
 	Renew    *sched.RenewOrder    `cbor:"8,keyasint,omitempty"`
+	// Expiry is the reading of the dispatcher's clock after which a start is not
+	// sent any more. It is valid only if the batch has a Process.
+	Expiry time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // Result is the outcome of an order.
@@ -70,6 +84,9 @@
 	Term   uint64        `cbor:"1,keyasint"`
 	Orders []Order       `cbor:"2,keyasint,omitempty"`
 	Wait   time.Duration `cbor:"3,keyasint,omitempty"`
+	// Process identifies the process of the dispatcher whose clock the Expiry of
+	// the starts refers to. Without it the starts do not expire.
+	Process string `cbor:"4,keyasint,omitempty"`
 }
 
 // Results answers a batch. Refused means that the dispatcher knows a newer term.
@@ -79,6 +96,11 @@
 	// Stopping means that the dispatcher stops soon. It still returns outstanding
 	// results but should get no further orders.
 	Stopping bool `cbor:"3,keyasint,omitempty"`
+	// Process identifies the process of the dispatcher. It is empty in an answer of
+	// an older build. Clock is the reading of that process's clock at the receipt
+	// of the batch.
+	Process string        `cbor:"4,keyasint,omitempty"`
+	Clock   time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // codec encodes messages with CBOR.
@@ -93,6 +115,11 @@
 type Dispatcher struct {
 	orders sched.Orders
 	log    *slog.Logger
+	now    func() time.Time
+	// process is a random id that distinguishes this process from an earlier one
+	// with the same address. Its clock counts from started.
+	process string
+	started time.Time
 
 	mu       sync.Mutex
 	term     uint64
@@ -107,13 +134,20 @@
 // WithLogger sets the logger; the default discards.
 func WithLogger(l *slog.Logger) DispatcherOption { return func(d *Dispatcher) { d.log = l } }
 
+// WithClock sets the function that returns the current time; the default is
+// [clock.Now]. The time has to advance while the process does not run.
+func WithClock(now func() time.Time) DispatcherOption { return func(d *Dispatcher) { d.now = now } }
+
 // NewDispatcher returns a dispatcher that uses the given implementation of
 // [sched.Orders] to reach the workers.
 func NewDispatcher(orders sched.Orders, opts ...DispatcherOption) *Dispatcher {
-	d := &Dispatcher{orders: orders, log: slog.New(slog.DiscardHandler), wake: make(chan struct{}, 1)}
+	d := &Dispatcher{
+		orders: orders, log: slog.New(slog.DiscardHandler), now: clock.Now, process: rand.Text(), wake: make(chan struct{}, 1),
+	}
 	for _, o := range opts {
 		o(d)
 	}
+	d.started = d.now()
 	return d
 }
 
@@ -138,6 +172,7 @@
 // Dispatch accepts the orders of a batch and returns the results that have
 // arrived since the last batch.
 func (d *Dispatcher) Dispatch(ctx context.Context, b Batch) Results {
+	received := d.clock()
 	d.mu.Lock()
 	if b.Term < d.term {
 		d.mu.Unlock()
@@ -148,7 +183,7 @@
 	}
 	d.mu.Unlock()
 	for i := range b.Orders {
-		go d.send(b.Term, &b.Orders[i])
+		go d.send(b.Term, b.Process, &b.Orders[i])
 	}
 	d.awaitResult(ctx, b.Wait)
 	d.mu.Lock()
@@ -156,7 +191,7 @@
 	if b.Term != d.term {
 		return Results{Refused: true}
 	}
-	out := Results{Results: d.results, Stopping: d.stopping}
+	out := Results{Results: d.results, Stopping: d.stopping, Process: d.process, Clock: received}
 	d.results = nil
 	return out
 }
@@ -185,16 +220,16 @@
 	}
 }
 
-// send sends an order to its worker and stores the result.
-func (d *Dispatcher) send(term uint64, o *Order) {
-	ctx, cancel := context.WithTimeout(context.Background(), o.Timeout)
-	defer cancel()
-	m := sched.Member{Worker: o.Worker, Addr: o.Addr}
+// send sends an order to its worker, unless it has expired, and stores the result.
+// term and process are those of its batch.
+func (d *Dispatcher) send(term uint64, process string, o *Order) {
 	r := Result{ID: o.ID}
-	var err error
-	if panicked := guard.Run(func() { err = d.exchange(ctx, m, o, &r) }); panicked != nil {
-		guard.Log(d.log, "dispatch order", panicked)
-		err = panicked
+	timeout, err := d.timeout(process, o)
+	if err == nil {
+		if panicked := guard.Run(func() { err = d.exchange(timeout, o, &r) }); panicked != nil {
+			guard.Log(d.log, "dispatch order", panicked)
+			err = panicked
+		}
 	}
 	if err != nil {
 		r.Failed, r.NotSent, r.Report = err.Error(), notSent(err), nil
@@ -214,7 +249,10 @@
 var errNoOrder = fmt.Errorf("%w: order is of no known kind", sched.ErrUnavailable)
 
 // exchange sends an order and stores the worker's answer in r.
-func (d *Dispatcher) exchange(ctx context.Context, m sched.Member, o *Order, r *Result) (err error) {
+func (d *Dispatcher) exchange(timeout time.Duration, o *Order, r *Result) (err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	m := sched.Member{Worker: o.Worker, Addr: o.Addr}
 	switch {
 	case o.Start != nil:
 		r.Reply, err = d.orders.Start(ctx, m, *o.Start)
--- a/internal/orders/dispatcher_test.go
+++ b/internal/orders/dispatcher_test.go
@@ -1,8 +1,10 @@
 package orders_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"log/slog"
 	"net/netip"
 	"slices"
 	"sync"
@@ -23,6 +25,7 @@
 	delay  time.Duration
 	err    error
 	starts int
+	stops  int
 }
 
 func (w *workers) Start(ctx context.Context, _ sched.Member, o sched.StartOrder) (sched.OrderReply, error) {
@@ -39,6 +42,9 @@
 }
 
 func (w *workers) Stop(context.Context, sched.Member, sched.StopOrder) (sched.OrderReply, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stops++
 	return sched.OrderReply{Refusal: sched.OrderFenced}, nil
 }
 
@@ -55,15 +61,20 @@
 
 // fixture holds the dispatchers of a pool. direct receives the orders that the
 // pool sends itself, and dispatched those that the dispatchers send. Batches fail
-// while sendFails is set.
+// while sendFails is set. They arrive after transit, even if the pool has given
+// them up. While older is set, the dispatchers know only the messages of an older
+// build. suspended is added to the clocks, but not to timers.
 type fixture struct {
 	direct, dispatched *workers
 	dispatchers        map[netip.AddrPort]*orders.Dispatcher
 	addrs              []netip.AddrPort
 	mu                 sync.Mutex
 	sendFails          bool
+	transit, suspended time.Duration
+	older              bool
 	batches            int
 	events             []string
+	log                bytes.Buffer
 }
 
 func newFixture(dispatchers int) *fixture {
@@ -71,18 +82,30 @@
 	for i := range dispatchers {
 		a := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i+1))
 		f.addrs = append(f.addrs, a)
-		f.dispatchers[a] = orders.NewDispatcher(f.dispatched)
+		f.dispatchers[a] = f.newDispatcher()
 	}
 	return f
 }
 
+func (f *fixture) newDispatcher() *orders.Dispatcher {
+	log := slog.New(slog.NewTextHandler(&f.log, nil))
+	return orders.NewDispatcher(f.dispatched, orders.WithClock(f.now), orders.WithLogger(log))
+}
+
+// now is the clock of the pool and the dispatchers.
+func (f *fixture) now() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Now().Add(f.suspended)
+}
+
 func (f *fixture) pool(ctx context.Context, term uint64) *orders.Pool {
 	return orders.NewPool(ctx, term, f.direct, f.sendBatch, func() []netip.AddrPort { return f.addrs },
 		func(event string, _ ...any) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.events = append(f.events, event)
-		})
+		}, orders.WithPoolClock(f.now))
 }
 
 // logged reports whether the pool logged an event.
@@ -95,12 +118,50 @@
 func (f *fixture) sendBatch(ctx context.Context, addr netip.AddrPort, b orders.Batch) (orders.Results, error) {
 	f.mu.Lock()
 	f.batches++
-	fails := f.sendFails
+	fails, transit, older := f.sendFails, f.transit, f.older
 	f.mu.Unlock()
 	if fails {
 		return orders.Results{}, errors.New("reset")
 	}
-	return f.dispatchers[addr].Dispatch(ctx, b), nil
+	b = recode[orders.Batch](b)
+	if older {
+		b = recode[orders.Batch](recode[olderBatch](b))
+	}
+	dispatch := func(ctx context.Context) orders.Results {
+		out := recode[orders.Results](f.dispatchers[addr].Dispatch(ctx, b))
+		if older {
+			out = recode[orders.Results](recode[olderResults](out))
+		}
+		return out
+	}
+	if transit == 0 {
+		return dispatch(ctx), nil
+	}
+	answer := make(chan orders.Results, 1)
+	go func() {
+		time.Sleep(transit)
+		answer <- dispatch(context.WithoutCancel(ctx))
+	}()
+	select {
+	case out := <-answer:
+		return out, nil
+	case <-ctx.Done():
+		return orders.Results{}, ctx.Err()
+	}
+}
+
+// setSendFails sets whether the following batches fail.
+func (f *fixture) setSendFails(fails bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sendFails = fails
+}
+
+// setTransit sets how long the following batches take to reach their dispatcher.
+func (f *fixture) setTransit(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.transit = d
 }
 
 // testContext returns a context that ends with the test, and lets the goroutines
@@ -158,21 +219,21 @@
 		ctx := testContext(t)
 		f := newFixture(1)
 		p := f.pool(ctx, 1)
-		f.sendFails = true
 		_, err := start(t, p)
+		require.NoError(t, err)
+		f.setSendFails(true)
+		_, err = start(t, p)
 		require.ErrorIs(t, err, sched.ErrLost)
 		require.NotErrorIs(t, err, sched.ErrUnavailable)
 		require.True(t, f.logged("dispatcher paused after a failure"))
 		_, err = start(t, p)
 		require.NoError(t, err, "the leader sends orders directly meanwhile")
 		require.Equal(t, 1, f.direct.starts)
-		f.mu.Lock()
-		f.sendFails = false
-		f.mu.Unlock()
+		f.setSendFails(false)
 		time.Sleep(4 * time.Second)
 		_, err = start(t, p)
 		require.NoError(t, err)
-		require.Equal(t, 1, f.dispatched.starts)
+		require.Equal(t, 2, f.dispatched.starts)
 	})
 }
 
@@ -257,9 +318,11 @@
 	t.Run("in the pool", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFixture(1)
-			delete(f.dispatchers, f.addrs[0]) // The call of the nil dispatcher panics.
 			p := f.pool(testContext(t), 1)
 			_, err := start(t, p)
+			require.NoError(t, err)
+			delete(f.dispatchers, f.addrs[0]) // The call of the nil dispatcher panics.
+			_, err = start(t, p)
 			require.ErrorIs(t, err, sched.ErrLost)
 			_, err = start(t, p)
 			require.NoError(t, err, "the next order is sent directly")
--- a/internal/orders/pool.go
+++ b/internal/orders/pool.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/mangoslip/mangoslip/internal/clock"
 	"github.com/mangoslip/mangoslip/internal/guard"
 	"github.com/mangoslip/mangoslip/pkg/sched"
 )
@@ -45,6 +46,7 @@
 	logEvent    func(event string, attrs ...any)
 	// seed is the seed of the hash that assigns workers to dispatchers.
 	seed maphash.Seed
+	now  func() time.Time
 	ctx  context.Context
 
 	mu     sync.Mutex
@@ -60,7 +62,7 @@
 	addr netip.AddrPort
 
 	mu    sync.Mutex
-	queue []Order
+	queue []queuedOrder
 	// pending holds the channels of the calls that wait for a result, by the ID
 	// of the order.
 	pending map[uint64]chan Result
@@ -68,20 +70,33 @@
 	pausedUntil time.Time
 	// stopping means that the dispatcher announced that it stops soon.
 	stopping bool
+	// reading is the last reading of the dispatcher's clock.
+	reading reading
 	// running means that a goroutine sends batches to the dispatcher.
 	running bool
 	wake    chan struct{}
 }
 
+// PoolOption changes a setting of a [Pool].
+type PoolOption func(*Pool)
+
+// WithPoolClock sets the function that returns the current time; the default is
+// [clock.Now]. The time has to advance while the process does not run.
+func WithPoolClock(now func() time.Time) PoolOption { return func(p *Pool) { p.now = now } }
+
 // NewPool returns a pool for a term. It works until ctx ends.
 func NewPool(
 	ctx context.Context, term uint64, direct sched.Orders, sendBatch SendBatch,
-	dispatchers func() []netip.AddrPort, logEvent func(event string, attrs ...any),
+	dispatchers func() []netip.AddrPort, logEvent func(event string, attrs ...any), opts ...PoolOption,
 ) *Pool {
-	return &Pool{
-		term: term, direct: direct, sendBatch: sendBatch, dispatchers: dispatchers, logEvent: logEvent, seed: maphash.MakeSeed(), ctx: ctx,
-		links: map[netip.AddrPort]*link{},
+	p := &Pool{
+		term: term, direct: direct, sendBatch: sendBatch, dispatchers: dispatchers, logEvent: logEvent, seed: maphash.MakeSeed(),
+		now: clock.Now, ctx: ctx, links: map[netip.AddrPort]*link{},
+	}
+	for _, o := range opts {
+		o(p)
 	}
+	return p
 }
 
 // Start implements [sched.Orders].
@@ -133,7 +148,7 @@
 func (p *Pool) link(m sched.Member) *link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	now := p.now()
 	var best *link
 	var bestHash uint64
 	for _, addr := range p.dispatchers() {
@@ -157,20 +172,20 @@
 
 // dispatch sends an order through a dispatcher and waits for its result.
 func (p *Pool) dispatch(ctx context.Context, l *link, m sched.Member, o Order) (Result, error) {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = time.Now().Add(batchTimeout)
+	now, left := p.now(), batchTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		left = time.Until(deadline)
 	}
 	p.mu.Lock()
 	p.lastID++
 	o.ID = p.lastID
 	p.mu.Unlock()
 	o.Worker, o.Addr = m.Worker, m.Addr
-	o.Timeout = time.Until(deadline)
+	o.Timeout = left
 	result := make(chan Result, 1)
 	l.mu.Lock()
 	l.pending[o.ID] = result
-	l.queue = append(l.queue, o)
+	l.queue = append(l.queue, queuedOrder{Order: o, deadline: now.Add(left)})
 	if !l.running {
 		l.running = true
 		go func() {
@@ -181,7 +196,7 @@
 	}
 	l.mu.Unlock()
 	l.signal()
-	t := time.NewTimer(time.Until(deadline) + dispatchAllowance)
+	t := time.NewTimer(left + dispatchAllowance)
 	defer t.Stop()
 	select {
 	case r := <-result:
@@ -232,17 +247,11 @@
 // run sends batches to a dispatcher while orders or results are outstanding.
 func (p *Pool) run(l *link) {
 	for p.ctx.Err() == nil {
-		l.mu.Lock()
-		if len(l.pending) == 0 && len(l.queue) == 0 {
-			l.running = false
-			l.mu.Unlock()
+		began := p.now()
+		batch, ok := l.nextBatch(p.term, began)
+		if !ok {
 			return
 		}
-		n := min(len(l.queue), maxBatchOrders)
-		batch := Batch{Term: p.term, Orders: append([]Order(nil), l.queue[:n]...), Wait: batchWait}
-		l.queue = append([]Order(nil), l.queue[n:]...)
-		l.mu.Unlock()
-		began := time.Now()
 		ctx, cancel := context.WithTimeout(p.ctx, batchTimeout)
 		out, err := p.sendBatch(ctx, l.addr, batch)
 		cancel()
@@ -250,11 +259,15 @@
 			p.pauseLink(l, err, out.Refused)
 			return
 		}
+		l.recordReading(&out, began, p.now())
 		l.deliver(out.Results)
 		if out.Stopping {
 			p.markStopping(l)
 		}
-		if remaining := batchInterval - time.Since(began); remaining > 0 {
+		if batch.Wait == 0 {
+			continue // Starts wait for the reading that this answer has.
+		}
+		if remaining := batchInterval - p.now().Sub(began); remaining > 0 {
 			time.Sleep(remaining)
 		}
 	}
@@ -278,7 +291,7 @@
 	l.mu.Lock()
 	known := l.stopping
 	l.stopping = true
-	l.pausedUntil = time.Now().Add(pauseDuration)
+	l.pausedUntil = p.now().Add(pauseDuration)
 	outstanding := len(l.pending)
 	l.mu.Unlock()
 	if !known {
@@ -291,7 +304,8 @@
 // error when their time is up.
 func (p *Pool) pauseLink(l *link, err error, refused bool) {
 	l.mu.Lock()
-	l.pausedUntil, l.running, l.stopping = time.Now().Add(pauseDuration), false, false
+	l.pausedUntil, l.running, l.stopping = p.now().Add(pauseDuration), false, false
+	l.reading = reading{}
 	queued := l.queue
 	l.queue = nil
 	unsent := make([]chan Result, 0, len(queued))
