Start tasks only while the register of workers is known to be recent

Cause: tasks were placed by the last read of the register of workers, however old. A read on a silent connection delays the next one by 1.2 s, several in a row by more; a worker that has reported that it drains gets tasks meanwhile.

Change: MembersMsg says when the store was asked, and tasks are started only while that is at most three quarters of the time within which the draining of a worker takes effect (bounds.drain-ms) ago, with the same exception for an outage. Reads are 700 ms apart from start to start, so that a slow store does not add to the interval. The file and the log event are named for both kinds of knowledge now.

Result: TestOldRegisterStartsNothing and TestStartsNeedRecentRegister fail without the condition and pass.

--- a/cmd/mangoslip/serve.go
+++ b/cmd/mangoslip/serve.go
@@ -146,6 +146,7 @@
 			MachineOptions: []flow.Option{
 				flow.WithLease(c.lease, s.MaxLease), flow.WithStopTime(s.StopTime), flow.WithMaxMiss(s.MaxTargetMiss, s.ThrottleTime),
 				flow.WithRemoteFactor(s.RemoteDataFactor), flow.WithResumeTime(s.ResumeTime), flow.WithCancelTime(s.CancelTime),
+				flow.WithDrainTime(s.DrainTime),
 			},
 		},
 	}, daemon.WithLogger(log), daemon.WithStats(st))
--- a/internal/emul/store.go
+++ b/internal/emul/store.go
@@ -149,7 +149,7 @@
 	e.leaders = append(e.leaders, l)
 	l.post(flow.ConfirmedMsg{Asked: e.now})
 	l.post(flow.ConfigMsg{Fleet: e.Fleet})
-	l.post(flow.MembersMsg{Members: e.members()})
+	l.post(flow.MembersMsg{Members: e.members(), Asked: e.now})
 	for _, j := range e.submitted {
 		p := s.items[flow.KeyProgress+string(j.Spec.ID)]
 		l.post(flow.JobMsg{
@@ -171,7 +171,7 @@
 	l.every(tickEvery, func() { l.post(sched.TickMsg{}); l.recordFinalStates() })
 	l.every(membersEvery, func() {
 		if !e.store.down && !l.storeCut {
-			l.post(flow.MembersMsg{Members: e.members()})
+			l.post(flow.MembersMsg{Members: e.members(), Asked: e.now})
 		}
 	})
 	l.every(confirmEvery, func() {
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -167,7 +167,7 @@
 	lost := false
 	retry := newStoreBackoff()
 	for t.ctx.Err() == nil {
-		items, _, err := t.l.store.Range(t.ctx, t.l.MembersPrefix, false)
+		members, err := t.read(t.l.MembersPrefix)
 		if err != nil {
 			if !lost && t.ctx.Err() == nil {
 				t.l.log.Warn("store lost", "step", "read workers", "error", err)
@@ -181,13 +181,13 @@
 		}
 		lost = false
 		retry.Reset()
-		t.postMembers(items)
-		pause(t.ctx, membersInterval)
+		t.postMembers(members)
+		pause(t.ctx, membersInterval-t.l.now().Sub(members.asked))
 	}
 }
 
-func (t *term) postMembers(items []sched.Item) {
-	members, invalid := t.l.DecodeMembers(items)
+func (t *term) postMembers(r reading) {
+	members, invalid := t.l.DecodeMembers(r.items)
 	t.mu.Lock()
 	for key, err := range invalid {
 		if !t.loggedInvalid[key] {
@@ -196,7 +196,7 @@
 		}
 	}
 	t.mu.Unlock()
-	t.post(flow.MembersMsg{Members: members})
+	t.post(flow.MembersMsg{Members: members, Asked: r.asked})
 }
 
 // tick delivers ticks to the state machine, so that it acts on the passage of
--- a/internal/leader/silent_test.go
+++ b/internal/leader/silent_test.go
@@ -225,3 +225,20 @@
 		c.requireDone("1", 20*time.Second)
 	})
 }
+
+// Guards against tasks that are started on workers that may drain since the register was read.
+func TestOldRegisterStartsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, time.Second)
+		defer c.stopAll()
+		time.Sleep(time.Second)
+		store := c.leading()[0].client
+		store.SetReadsSilent(membersPrefix)
+		time.Sleep(3 * time.Second)
+		c.submit("1")
+		time.Sleep(3 * time.Second)
+		require.Zero(t, c.startsOf("1", time.Time{}))
+		store.SetReadsSilent("")
+		c.requireDone("1", 6*time.Second)
+	})
+}
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -152,7 +152,7 @@
 	fleet := t.l.fleet
 	t.l.mu.Unlock()
 	t.post(flow.ConfigMsg{Fleet: fleet})
-	t.postMembers(members.items)
+	t.postMembers(members)
 	for _, i := range work.items {
 		t.postWork(sched.Change{Item: i}, progress)
 	}
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -76,6 +76,8 @@
 	// counts how often it was set.
 	silent   bool
 	silences int
+	// silentPrefix is the prefix whose reads get no answer, if it is not empty.
+	silentPrefix string
 	// delay is the additional time of each call, answerDelay the additional time
 	// of a watch's answer, both in nanoseconds.
 	delay, answerDelay atomic.Int64
@@ -97,6 +99,14 @@
 // SetDelay sets the additional time of each call.
 func (c *Client) SetDelay(d time.Duration) { c.delay.Store(int64(d)) }
 
+// SetReadsSilent sets the prefix whose reads get no answer. They fail with
+// [sched.ErrLost] after one second. With an empty prefix all reads are answered.
+func (c *Client) SetReadsSilent(prefix string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silentPrefix = prefix
+}
+
 // SetAnswerDelay sets how long after they were formed the answers of watches arrive.
 func (c *Client) SetAnswerDelay(d time.Duration) { c.answerDelay.Store(int64(d)) }
 
@@ -254,6 +264,10 @@
 	if err := c.begin(ctx); err != nil {
 		return nil, 0, err
 	}
+	if c.silentPrefix != "" && strings.HasPrefix(prefix, c.silentPrefix) {
+		c.mu.Unlock()
+		return nil, 0, awaitTimeout(ctx, answerTimeout)
+	}
 	defer c.mu.Unlock()
 	var out []sched.Item
 	for k, e := range c.items {
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -115,12 +115,13 @@
 	// known, another one.
 	storeAnsweredAt time.Time
 	// workReadAt is when the store was last asked for all jobs and cancellations
-	// and answered, zero if that is not reported. peersAskedAt is when other
-	// entries were last asked about the store and answered. workIsCurrent tells
-	// whether the work is known well enough to start tasks.
-	workReadAt    time.Time
-	peersAskedAt  time.Time
-	workIsCurrent bool
+	// and answered, registerReadAt when it was asked for the register of workers;
+	// zero if that is not reported. peersAskedAt is when other entries were last
+	// asked about the store and answered. knowledgeIsCurrent tells whether all that
+	// is known well enough to start tasks.
+	workReadAt, registerReadAt time.Time
+	peersAskedAt               time.Time
+	knowledgeIsCurrent         bool
 	// mostAreSlow means that most workers answer late or not at all.
 	mostAreSlow bool
 }
@@ -130,14 +131,14 @@
 // New returns the machine of a leader's term. It knows no jobs and no workers.
 func New(term uint64, opts ...Option) *Machine {
 	m := &Machine{
-		options:        defaults(),
-		term:           term,
-		fleet:          &sched.FleetConfig{},
-		jobs:           map[sched.JobID]*job{},
-		cancels:        map[sched.JobID]int64{},
-		workers:        map[sched.WorkerName]*worker{},
-		mayIssueOrders: true,
-		workIsCurrent:  true,
+		options:            defaults(),
+		term:               term,
+		fleet:              &sched.FleetConfig{},
+		jobs:               map[sched.JobID]*job{},
+		cancels:            map[sched.JobID]int64{},
+		workers:            map[sched.WorkerName]*worker{},
+		mayIssueOrders:     true,
+		knowledgeIsCurrent: true,
 
 		permittedShare: initialPermittedShare,
 	}
@@ -158,9 +159,9 @@
 	}
 	m.now, m.cmds = now, nil
 	// The process may have been paused since the last message, so that the
-	// permission or the knowledge of the work has expired without a tick.
+	// permission or the knowledge of work and workers has expired without a tick.
 	m.updateMayIssueOrders()
-	m.updateWorkIsCurrent()
+	m.updateKnowledge()
 	m.apply(msg)
 	if m.lost {
 		return m.cmds
@@ -178,6 +179,7 @@
 		m.configure(msg.Fleet)
 	case MembersMsg:
 		m.setMembers(msg.Members)
+		m.noteRegisterRead(msg.Asked)
 	case JobMsg:
 		m.addJob(msg)
 	case CancelMsg:
--- a/pkg/sched/flow/workread.go
+++ b/pkg/sched/flow/knowledge.go
@@ -22,7 +22,7 @@
 	if at.After(m.storeAnsweredAt) {
 		m.storeAnsweredAt = at
 	}
-	m.updateWorkIsCurrent()
+	m.updateKnowledge()
 }
 
 // notePeersAsked records when other entries were asked about the store.
@@ -30,7 +30,7 @@
 	if at.After(m.peersAskedAt) {
 		m.peersAskedAt = at
 	}
-	m.updateWorkIsCurrent()
+	m.updateKnowledge()
 }
 
 // noteWorkRead records how far the jobs and cancellations are known.
@@ -38,31 +38,44 @@
 	if at.After(m.workReadAt) {
 		m.workReadAt = at
 	}
-	m.updateWorkIsCurrent()
+	m.updateKnowledge()
 }
 
-// knowsRecentWork reports whether the machine knows the jobs and cancellations well
-// enough to start tasks: the last complete read of them is not old, or the store has
-// answered no entry since, so that no cancellation was recorded. Half of the time
-// within which a cancellation takes effect is left for the order.
-func (m *Machine) knowsRecentWork() bool {
-	maxAge := m.cancelTime / 2
-	if m.workReadAt.IsZero() || m.now.Sub(m.workReadAt) <= maxAge {
+// noteRegisterRead records how far the register of workers is known.
+func (m *Machine) noteRegisterRead(at time.Time) {
+	if at.After(m.registerReadAt) {
+		m.registerReadAt = at
+	}
+	m.updateKnowledge()
+}
+
+// knowsEnough reports whether the machine knows the jobs, the cancellations and the
+// register of workers well enough to start tasks. A part of the time within which a
+// cancellation, or the draining of a worker, takes effect is left for the order.
+func (m *Machine) knowsEnough() bool {
+	return m.isCurrent(m.workReadAt, m.cancelTime/2) && m.isCurrent(m.registerReadAt, m.drainTime*3/4)
+}
+
+// isCurrent reports whether something that was read completely at the given time is
+// known well enough: that is at most maxAge ago, or the store has answered no entry
+// since, so that nothing was recorded. A zero time means that reads are not reported.
+func (m *Machine) isCurrent(readAt time.Time, maxAge time.Duration) bool {
+	if readAt.IsZero() || m.now.Sub(readAt) <= maxAge {
 		return true
 	}
-	outage := m.storeAnsweredAt.Sub(m.workReadAt) <= maxAge
+	outage := m.storeAnsweredAt.Sub(readAt) <= maxAge
 	return outage && m.now.Sub(m.peersAskedAt) <= peersAnswerValid
 }
 
-// updateWorkIsCurrent updates workIsCurrent and logs when it changes.
-func (m *Machine) updateWorkIsCurrent() {
-	current := m.knowsRecentWork()
-	if current == m.workIsCurrent {
+// updateKnowledge updates knowledgeIsCurrent and logs when it changes.
+func (m *Machine) updateKnowledge() {
+	current := m.knowsEnough()
+	if current == m.knowledgeIsCurrent {
 		return
 	}
-	m.workIsCurrent = current
-	m.log("knowledge of jobs and cancellations changed", "term", m.term, "current", current, "workRead", m.sinceWorkRead(),
-		"storeAnswered", m.now.Sub(m.storeAnsweredAt), "peersAsked", m.now.Sub(m.peersAskedAt))
+	m.knowledgeIsCurrent = current
+	m.log("knowledge of work and workers changed", "term", m.term, "current", current, "workRead", m.sinceWorkRead(),
+		"registerRead", m.now.Sub(m.registerReadAt), "storeAnswered", m.now.Sub(m.storeAnsweredAt), "peersAsked", m.now.Sub(m.peersAskedAt))
 	m.stale = true
 }
 
@@ -71,4 +84,4 @@
 
 // mayStart reports whether tasks may be started. Stops and lease renewals do not
 // depend on it.
-func (m *Machine) mayStart() bool { return m.mayIssueOrders && m.workIsCurrent }
+func (m *Machine) mayStart() bool { return m.mayIssueOrders && m.knowledgeIsCurrent }
--- a/pkg/sched/flow/workread_test.go
+++ b/pkg/sched/flow/knowledge_test.go
@@ -49,6 +49,26 @@
 	require.Len(t, starts, 1)
 }
 
+// Guards against starts on a worker that may have begun to drain since the register was read.
+func TestStartsNeedRecentRegister(t *testing.T) {
+	l := newLeaderWithWork()
+	register := flow.MembersMsg{Asked: l.now}
+	for range 16 {
+		l.now = l.now.Add(100 * time.Millisecond)
+		l.update(flow.ConfirmedMsg{Asked: l.now})
+		l.update(flow.WorkReadMsg{Asked: l.now})
+		if register.Members == nil {
+			register.Members = []sched.Member{{Worker: "w", Service: "Pool", Capacity: sched.Resources{CPU: 8000, Memory: gib}, Born: 1}}
+			l.update(register)
+		}
+	}
+	starts, _ := l.submit("1")
+	require.Empty(t, starts)
+	register.Asked = l.now
+	starts, _ = l.update(register)
+	require.Len(t, starts, 1)
+}
+
 // Guards against starts after the process was suspended, when the work and the answers
 // of other entries are equally old.
 func TestSuspendedLeaderStartsNothingOnOldWork(t *testing.T) {
--- a/pkg/sched/flow/messages.go
+++ b/pkg/sched/flow/messages.go
@@ -9,8 +9,12 @@
 // ConfigMsg puts a configuration in force.
 type ConfigMsg struct{ Fleet *sched.FleetConfig }
 
-// MembersMsg is the current content of the register of workers.
-type MembersMsg struct{ Members []sched.Member }
+// MembersMsg is the current content of the register of workers. Asked is when the
+// store was asked, zero if that is not reported.
+type MembersMsg struct {
+	Members []sched.Member
+	Asked   time.Time
+}
 
 // JobMsg delivers an accepted job. A job that is already known is ignored.
 type JobMsg struct {
--- a/pkg/sched/flow/options.go
+++ b/pkg/sched/flow/options.go
@@ -28,6 +28,9 @@
 	// defaultCancelTime is how long after its acknowledgement a cancellation may
 	// take effect.
 	defaultCancelTime = 3 * time.Second
+	// defaultDrainTime is how long after a worker reported that it drains tasks may
+	// still be started there.
+	defaultDrainTime = 2 * time.Second
 )
 
 type options struct {
@@ -37,7 +40,8 @@
 	maxMiss, throttleTime, gangWait time.Duration
 	remoteFactor                    float64
 	retention                       time.Duration
-	resumeTime, cancelTime          time.Duration
+	resumeTime                      time.Duration
+	cancelTime, drainTime           time.Duration
 	wallMillis                      func(time.Time) int64
 }
 
@@ -46,7 +50,7 @@
 		lease: defaultLease, maxLease: defaultMaxLease, stopTime: defaultStopTime, callTime: defaultCallTime,
 		reserveShare: defaultReserveShare, maxMiss: defaultMaxMiss, throttleTime: defaultThrottleTime,
 		remoteFactor: defaultRemoteFactor, retention: defaultRetention, gangWait: defaultGangWait,
-		resumeTime: defaultResumeTime, cancelTime: defaultCancelTime,
+		resumeTime: defaultResumeTime, cancelTime: defaultCancelTime, drainTime: defaultDrainTime,
 		wallMillis: func(t time.Time) int64 { return t.UnixMilli() },
 	}
 }
@@ -86,6 +90,10 @@
 // effect (default 3 s).
 func WithCancelTime(d time.Duration) Option { return func(o *options) { o.cancelTime = d } }
 
+// WithDrainTime sets how long after a worker reported that it drains tasks may still
+// be started there (default 2 s).
+func WithDrainTime(d time.Duration) Option { return func(o *options) { o.drainTime = d } }
+
 // WithWallClock sets the function that returns the time of day as Unix time in
 // milliseconds. It determines when the occurrences of a repeated job are due.
 func WithWallClock(f func(now time.Time) int64) Option { return func(o *options) { o.wallMillis = f } }
--- a/pkg/sched/flow/start.go
+++ b/pkg/sched/flow/start.go
@@ -85,7 +85,7 @@
 		return false
 	}
 	r := w.runs[id]
-	return r != nil && r.state == runStarting && m.allowedToIssueOrders() && m.knowsRecentWork()
+	return r != nil && r.state == runStarting && m.allowedToIssueOrders() && m.knowsEnough()
 }
 
 // startWithdrawn handles a start that was not sent. An earlier copy may have been
