--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -179,7 +179,7 @@
 		m.configure(msg.Fleet)
 	case MembersMsg:
 		m.setMembers(msg.Members)
-		m.noteRegisterRead(msg.Asked)
+		m.noteLatest(&m.registerReadAt, msg.Asked)
 	case JobMsg:
 		m.addJob(msg)
 	case CancelMsg:
@@ -187,13 +187,13 @@
 	case ConfirmedMsg:
 		m.confirmedAt = msg.Asked
 		m.updateMayIssueOrders()
-		m.noteStoreAnswered(msg.Asked)
+		m.noteLatest(&m.storeAnsweredAt, msg.Asked)
 	case StoreAnsweredMsg:
-		m.noteStoreAnswered(msg.At)
+		m.noteLatest(&m.storeAnsweredAt, msg.At)
 	case PeersAskedMsg:
-		m.notePeersAsked(msg.Asked)
+		m.noteLatest(&m.peersAskedAt, msg.Asked)
 	case WorkReadMsg:
-		m.noteWorkRead(msg.Asked)
+		m.noteLatest(&m.workReadAt, msg.Asked)
 	case TakeoverMsg:
 		m.takeOver(msg)
 	case RenewResultMsg:
--- a/pkg/sched/flow/knowledge.go
+++ b/pkg/sched/flow/knowledge.go
@@ -17,34 +17,10 @@
 // answered them, and that their answers have been delivered.
 type PeersAskedMsg struct{ Asked time.Time }
 
-// noteStoreAnswered records that the store answered an entry.
-func (m *Machine) noteStoreAnswered(at time.Time) {
-	if at.After(m.storeAnsweredAt) {
-		m.storeAnsweredAt = at
-	}
-	m.updateKnowledge()
-}
-
-// notePeersAsked records when other entries were asked about the store.
-func (m *Machine) notePeersAsked(at time.Time) {
-	if at.After(m.peersAskedAt) {
-		m.peersAskedAt = at
-	}
-	m.updateKnowledge()
-}
-
-// noteWorkRead records how far the jobs and cancellations are known.
-func (m *Machine) noteWorkRead(at time.Time) {
-	if at.After(m.workReadAt) {
-		m.workReadAt = at
-	}
-	m.updateKnowledge()
-}
-
-// noteRegisterRead records how far the register of workers is known.
-func (m *Machine) noteRegisterRead(at time.Time) {
-	if at.After(m.registerReadAt) {
-		m.registerReadAt = at
+// noteLatest records a time that knowledge depends on, unless a later one is known.
+func (m *Machine) noteLatest(latest *time.Time, at time.Time) {
+	if at.After(*latest) {
+		*latest = at
 	}
 	m.updateKnowledge()
 }
