Close idle connections to an address when a request to it times out

What callers saw: after connections had gone silent, orders to a worker timed out one after the other; a review saw four stops in a row.

Cause: a timeout closes only the connection of the request.

Change: wire knows the open connections of each address and which of them are idle. A request that got a connection and whose deadline was exceeded closes the idle ones to its address. Connections in use and those to other addresses stay open. A request that is assigned one of the closed connections takes another one, since nothing was written; for its body it needs GetBody, which requests to targets now have.

Result: TestSilentConnsAreNotUsedAgain (2 cases) and TestTimeoutKeepsOtherConns failed without the change in 3 of 3 runs and pass. Each of twelve deliberate faults in the new code failed a test. Of six stops in the review's test only the first times out.

--- a/internal/agent/target.go
+++ b/internal/agent/target.go
@@ -141,6 +141,8 @@
 	}
 	if len(r.Body) > 0 {
 		req.Body = io.NopCloser(bytes.NewReader(r.Body))
+		// With GetBody, wire can replace a connection on which nothing was written.
+		req.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(r.Body)), nil }
 		req.ContentLength = int64(len(r.Body))
 	}
 	for k, v := range r.Header {
--- a/internal/wire/attempt.go
+++ b/internal/wire/attempt.go
@@ -16,6 +16,9 @@
 	startOffset int64
 	// written means that a byte of the request was written, or may have been.
 	written bool
+	// refused means that conn was sealed before the request got it and that no byte of
+	// the request was written, so it can take another connection.
+	refused bool
 }
 
 // gotConn records the connection that the request got. If bytes of the request were
@@ -32,13 +35,22 @@
 		return
 	}
 	a.conn = c
+	open := c.acquire(a)
 	a.startOffset = c.bytesWritten()
+	a.refused = !open && !a.written
 	if a.written {
 		c.seal(a.startOffset, errResend)
 		a.cancel(errResend)
 	}
 }
 
+// putIdleConn records that the connection of the request is idle again.
+func (a *attempt) putIdleConn(err error) {
+	if err == nil && a.conn != nil {
+		a.conn.release(a)
+	}
+}
+
 // seal seals the connection of the request and reports whether any byte of the
 // request was written.
 func (a *attempt) seal() bool {
