Resign only if the lease was renewed all the while, and for every read

Cause: compared the last renewal of the lease with the last read of the work. After an outage the first renewal comes before the first read, so a healthy leader resigned.

Change: the time counts only while each renewal has succeeded, and anew after a suspension. It ends with the older of the reads of the work and of the register; while the state is loaded, the limit is 15 s. The entry does not campaign for 5 s after that. The next watch does not wait if the last read is 0.6 s old, so that slow calls do not hold starts (0.38 s a call did).

Two tests of a single entry kept a silence for longer than 5 s; TestOldRegisterStartsNothing keeps it for 4 s, TestSilentWatchStartsNoCancelledTask no longer needs a leader at its end.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -54,14 +54,11 @@
 	workWatchWait = 400 * time.Millisecond
 	// overdueWorkAge is the age of the last complete read of the jobs and
 	// cancellations beyond which the next watch does not wait for a change.
-	// Beyond maxWorkAge the leader asks other entries, at intervals of
+	// Beyond peerCheckAge the leader asks other entries, at intervals of
 	// peerCheckInterval, whether the store answers them.
-	overdueWorkAge    = 2 * workWatchWait
-	maxWorkAge        = 3 * workWatchWait
+	overdueWorkAge    = 3 * workWatchWait / 2
+	peerCheckAge      = 3 * workWatchWait
 	peerCheckInterval = 300 * time.Millisecond
-	// maxUnreadTime is how long the leader keeps renewing its lease without reading
-	// the jobs and cancellations.
-	maxUnreadTime = 5 * time.Second
 	// retryPause is the first pause after a failed call, retryMaxPause the
 	// longest, and retryJitter the random fraction of a pause.
 	retryPause    = 150 * time.Millisecond
@@ -124,6 +121,8 @@
 	fleet       *sched.FleetConfig
 	term        *term
 	resigned    bool
+	// campaignsPausedUntil is until when the entry does not campaign.
+	campaignsPausedUntil time.Time
 	// jobPanics counts the panics of the state machine by the job that it got.
 	jobPanics map[sched.JobID]int
 }
@@ -159,8 +158,9 @@
 }
 
 // AskPeers asks other entries how long ago the store last answered them, and calls
-// report with each answer. It returns whether at least half of them answered, or
-// there is no other entry. If fewer answer, the asking entry itself may be cut off.
+// report with each answer that tells. It returns whether at least half of them told
+// something about the store, or there is no other entry. If fewer do, the asking entry
+// itself may be cut off.
 type AskPeers func(ctx context.Context, report func(since time.Duration)) bool
 
 // WithAskPeers sets the function that asks other entries about the store. Without it
@@ -192,7 +192,7 @@
 func (l *Leader) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		input, outage := l.follow(ctx)
-		if ctx.Err() != nil || l.isResigned() {
+		if ctx.Err() != nil || !l.mayCampaign() {
 			pause(ctx, retryPause)
 			continue
 		}
@@ -333,12 +333,6 @@
 	}
 }
 
-func (l *Leader) isResigned() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.resigned
-}
-
 func (l *Leader) setKnownLeader(v layout.Leader, source string) {
 	l.mu.Lock()
 	changed := v.Term > l.knownLeader.Term
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -196,6 +196,9 @@
 		}
 	}
 	t.mu.Unlock()
+	t.mu.Lock()
+	t.registerReadAt = r.asked
+	t.mu.Unlock()
 	t.post(flow.MembersMsg{Members: members, Asked: r.asked})
 }
 
@@ -224,25 +227,23 @@
 			return
 		}
 		t.renewLease()
+		if t.resignIfUnread() {
+			return
+		}
 		pause(t.ctx, renewInterval)
 	}
 }
 
 // maintainLease renews the leader's lease at intervals, and reads the term when
-// its last confirmation is too old. It resigns if the lease can be renewed for
-// maxUnreadTime while the work cannot be read: no other entry would take over, and
-// this one starts no tasks.
+// its last confirmation is too old.
 func (t *term) maintainLease() {
 	for t.ctx.Err() == nil {
 		pause(t.ctx, renewInterval)
 		t.renewLease()
 		t.mu.Lock()
 		age := t.l.now().Sub(t.confirmedAt)
-		unread := t.renewedAt.Sub(t.workReadAt)
 		t.mu.Unlock()
-		if unread > maxUnreadTime {
-			t.l.log.Warn("jobs and cancellations cannot be read", "term", t.number, "for", unread)
-			t.resign(context.WithoutCancel(t.ctx), "jobs and cancellations cannot be read")
+		if t.resignIfUnread() {
 			return
 		}
 		if age > maxConfirmationAge {
@@ -264,7 +265,7 @@
 func (t *term) checkPeerContact() {
 	for t.ctx.Err() == nil {
 		pause(t.ctx, peerCheckInterval)
-		if t.workAge() <= maxWorkAge {
+		if t.workAge() <= peerCheckAge {
 			continue
 		}
 		asked := t.l.now()
@@ -290,11 +291,7 @@
 	defer func() { t.lease <- lease }()
 	asked := t.l.now()
 	err := t.l.store.Renew(t.ctx, lease)
-	if err == nil {
-		t.mu.Lock()
-		t.renewedAt = asked
-		t.mu.Unlock()
-	}
+	t.recordRenewal(asked, err == nil)
 	if !errors.Is(err, sched.ErrNoLease) {
 		return // The next renewal follows soon, and other calls confirm the term.
 	}
--- a/internal/leader/silent_test.go
+++ b/internal/leader/silent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -50,11 +51,12 @@
 				c.submit("1")
 				time.Sleep(100 * time.Millisecond)
 				require.Equal(t, 2, c.startsOf("1", time.Time{}))
-				c.leading()[0].client.SetWatchesSilent(true)
+				store := c.leading()[0].client
+				store.SetWatchesSilent(true)
 				c.cancel("1")
 				cancelled := time.Now()
 				time.Sleep(silence)
-				c.leading()[0].client.SetWatchesSilent(false)
+				store.SetWatchesSilent(false)
 				time.Sleep(3 * runTime)
 				require.Zero(t, c.startsOf("1", cancelled.Add(cancelBound)))
 				require.Equal(t, sched.JobCancelled, c.state("1"))
@@ -87,6 +89,22 @@
 	}
 }
 
+// Guards against the same with an answer that is recent.
+func TestRecentAnswerBringsJobAndCancellation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, time.Second)
+		defer c.stopAll()
+		time.Sleep(time.Second)
+		c.leading()[0].client.SetDelay(100 * time.Millisecond)
+		time.Sleep(time.Second)
+		c.submit("1")
+		c.cancel("1")
+		time.Sleep(2 * time.Second)
+		require.NotContains(t, c.log.String(), "start ordered")
+		require.Equal(t, sched.JobCancelled, c.state("1"))
+	})
+}
+
 // Guards against tasks that a leader without the store starts while others record cancellations.
 func TestCutOffLeaderStartsNoCancelledTask(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -181,10 +199,12 @@
 			c := newCluster(t, 1, 2*time.Second)
 			defer c.stopAll()
 			time.Sleep(time.Second)
-			store := c.leading()[0].client
-			store.SetAnswerDelay(200 * time.Millisecond)
 			c.submit("1")
-			time.Sleep(1500*time.Millisecond + time.Duration(phase)*50*time.Millisecond)
+			time.Sleep(100 * time.Millisecond)
+			require.Equal(t, 2, c.startsOf("1", time.Time{}))
+			// The register of workers is read again before the old answer arrives.
+			c.leading()[0].client.SetAnswerDelay(layout.WorkPrefix, time.Second)
+			time.Sleep(1400*time.Millisecond + time.Duration(phase)*50*time.Millisecond)
 			c.cancel("1")
 			c.suspended.Store(int64(5 * time.Second))
 			resumed := time.Now()
@@ -194,9 +214,40 @@
 	}
 }
 
+// Guards against a new leader that takes a slow read of the work for a recent one.
+func TestSlowLoadStartsNoCancelledTask(t *testing.T) {
+	const answerDelay = 4 * time.Second
+	for phase := range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, 0, time.Minute)
+			defer c.stopAll()
+			c.submit("1")
+			c.addEntry("a").client.SetAnswerDelay(layout.WorkPrefix, answerDelay)
+			// The answer of the read of the work is formed within the phases.
+			time.Sleep(time.Duration(phase) * 50 * time.Millisecond)
+			c.cancel("1")
+			cancelled := time.Now()
+			time.Sleep(30 * time.Second)
+			require.Zero(t, c.startsOf("1", cancelled.Add(cancelBound)))
+		})
+	}
+}
+
+// Guards against waits of the watch that add to the delay of its answers.
+func TestOverdueWatchDoesNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, time.Second)
+		defer c.stopAll()
+		time.Sleep(time.Second)
+		c.leading()[0].client.SetAnswerDelay(layout.WorkPrefix, 500*time.Millisecond)
+		time.Sleep(10 * time.Second)
+		require.NotContains(t, c.log.String(), "current=false")
+	})
+}
+
 // Guards against a slow store that keeps the leader from starting tasks.
 func TestSlowStoreDoesNotHoldStarts(t *testing.T) {
-	for _, delay := range []time.Duration{250 * time.Millisecond, 500 * time.Millisecond} {
+	for _, delay := range []time.Duration{250 * time.Millisecond, 380 * time.Millisecond, 500 * time.Millisecond} {
 		t.Run(delay.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := newCluster(t, 1, 300*time.Millisecond)
@@ -214,18 +265,78 @@
 	}
 }
 
-// Guards against a leader that keeps its lease and starts nothing because its watches get no answer.
-func TestLeaderThatDoesNotReadTheWorkResigns(t *testing.T) {
+// Guards against a leader that keeps its lease and starts nothing because its reads get no answer.
+func TestLeaderThatCannotReadResigns(t *testing.T) {
+	silence := map[string]func(c *memory.Client){
+		"watches":  func(c *memory.Client) { c.SetWatchesSilent(true) },
+		"register": func(c *memory.Client) { c.SetReadsSilent(membersPrefix) },
+		"work": func(c *memory.Client) {
+			c.SetWatchesSilent(true)
+			c.SetReadsSilent(layout.WorkPrefix)
+		},
+	}
+	for name, silence := range silence {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 3, time.Second)
+				defer c.stopAll()
+				time.Sleep(time.Second)
+				silence(c.leading()[0].client)
+				time.Sleep(3 * time.Second)
+				c.submit("1")
+				c.requireDone("1", 30*time.Second)
+			})
+		})
+	}
+}
+
+// Guards against an entry that gives up its term because it cannot read, and wins the next one.
+func TestEntryThatCannotReadDoesNotLeadNext(t *testing.T) {
+	for range 8 {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, 3, time.Second)
+			defer c.stopAll()
+			time.Sleep(time.Second)
+			store := c.leading()[0].client
+			store.SetWatchesSilent(true)
+			store.SetReadsSilent(layout.WorkPrefix)
+			time.Sleep(3 * time.Second)
+			c.submit("1")
+			c.requireDone("1", 12*time.Second)
+		})
+	}
+}
+
+// Guards against a new leader that keeps its lease although it cannot load the stored state.
+func TestLeaderThatCannotLoadResigns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 3, time.Second)
+		c := newCluster(t, 0, time.Second)
 		defer c.stopAll()
+		c.addEntry("a").client.SetReadsSilent(membersPrefix)
 		time.Sleep(time.Second)
-		c.leading()[0].client.SetWatchesSilent(true)
+		c.addEntry("b")
 		c.submit("1")
-		c.requireDone("1", 20*time.Second)
+		c.requireDone("1", time.Minute)
 	})
 }
 
+// Guards against a leader that resigns after an outage because it reads later than it renews its lease.
+func TestLeaderStaysAfterOutage(t *testing.T) {
+	for step := range 40 {
+		outage := 4*time.Second + time.Duration(step)*113*time.Millisecond
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, 1, time.Second)
+			defer c.stopAll()
+			time.Sleep(time.Second)
+			c.store.SetDown(true)
+			time.Sleep(outage)
+			c.store.SetDown(false)
+			time.Sleep(10 * time.Second)
+			require.False(t, strings.Contains(c.log.String(), "term is given up"), "outage of %s", outage)
+		})
+	}
+}
+
 // Guards against tasks that are started on workers that may drain since the register was read.
 func TestOldRegisterStartsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -234,9 +345,9 @@
 		time.Sleep(time.Second)
 		store := c.leading()[0].client
 		store.SetReadsSilent(membersPrefix)
-		time.Sleep(3 * time.Second)
+		time.Sleep(2 * time.Second)
 		c.submit("1")
-		time.Sleep(3 * time.Second)
+		time.Sleep(2 * time.Second)
 		require.Zero(t, c.startsOf("1", time.Time{}))
 		store.SetReadsSilent("")
 		c.requireDone("1", 6*time.Second)
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -46,11 +46,12 @@
 	// the term to be the newest.
 	confirmedAt time.Time
 	// workReadAt is the start of the most recent call to the store that completed
-	// the jobs and cancellations that the state machine knows.
-	workReadAt time.Time
-	// renewedAt is the start of the most recent call that renewed the leader's
-	// lease.
-	renewedAt time.Time
+	// the jobs and cancellations that the state machine knows, registerReadAt that
+	// of the most recent read of the register of workers.
+	workReadAt, registerReadAt time.Time
+	// renewedSince is since when each renewal of the leader's lease has succeeded,
+	// zero if the last one failed. renewedAt is when the last one was sent.
+	renewedSince, renewedAt time.Time
 	// loggedInvalid holds the keys of the register of workers that have been
 	// logged as invalid.
 	loggedInvalid map[string]bool
--- /dev/null
+++ b/internal/leader/unread.go
@@ -0,0 +1,90 @@
+package leader
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// maxUnreadTime is how long the leader may renew its lease without reading the
+	// work or the register of workers. Shorter disturbances end by themselves, and
+	// another leader costs a takeover.
+	maxUnreadTime = 5 * time.Second
+	// maxLoadTime is the same for loading the stored state, which may have many
+	// pages.
+	maxLoadTime = 15 * time.Second
+	// unreadPause is how long an entry that gave up a term because of that does not
+	// campaign, so that an entry that can read leads next.
+	unreadPause = 5 * time.Second
+)
+
+// resignIfUnread ends the term if the lease can be renewed while the store does not
+// answer the reads that the leader needs: it starts no tasks then, and no other entry
+// takes over. It returns whether the term ended.
+func (t *term) resignIfUnread() bool {
+	unread, limit := t.unread()
+	if unread <= limit {
+		return false
+	}
+	t.l.log.Warn("the store does not answer the leader's reads", "term", t.number, "for", unread)
+	t.l.pauseCampaigns(unreadPause)
+	t.resign(context.WithoutCancel(t.ctx), "the store does not answer the leader's reads")
+	return true
+}
+
+// unread returns for how long the leader has renewed its lease without a complete read
+// of the work and of the register of workers, and the limit of that time. While the
+// lease cannot be renewed, the time is 0.
+func (t *term) unread() (unread, limit time.Duration) {
+	t.l.mu.Lock()
+	loaded := t.loaded
+	t.l.mu.Unlock()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	since, limit := t.started, maxLoadTime
+	if loaded {
+		since, limit = earlier(t.workReadAt, t.registerReadAt), maxUnreadTime
+	}
+	if t.renewedSince.IsZero() {
+		return 0, limit
+	}
+	if t.renewedSince.After(since) {
+		since = t.renewedSince
+	}
+	return t.l.now().Sub(since), limit
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// recordRenewal records whether the leader's lease was renewed by a call that began
+// at asked. After a suspension of the process the lease counts as renewed since then.
+func (t *term) recordRenewal(asked time.Time, renewed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case !renewed:
+		t.renewedSince = time.Time{}
+	case t.renewedSince.IsZero() || asked.Sub(t.renewedAt) > t.l.ttl:
+		t.renewedSince = asked
+	}
+	t.renewedAt = asked
+}
+
+// pauseCampaigns keeps the entry from campaigning for d.
+func (l *Leader) pauseCampaigns(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.campaignsPausedUntil = l.now().Add(d)
+}
+
+// mayCampaign reports whether the entry may campaign.
+func (l *Leader) mayCampaign() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.resigned && !l.now().Before(l.campaignsPausedUntil)
+}
--- a/internal/memory/fault.go
+++ b/internal/memory/fault.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/mangoslip/mangoslip/pkg/sched"
@@ -28,8 +29,21 @@
 	c.silentPrefix = prefix
 }
 
-// SetAnswerDelay sets how long after they were formed the answers of watches arrive.
-func (c *Client) SetAnswerDelay(d time.Duration) { c.answerDelay.Store(int64(d)) }
+// SetAnswerDelay sets how long after they were formed the answers of ranges and
+// watches under a prefix arrive.
+func (c *Client) SetAnswerDelay(prefix string, d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.delayedPrefix, c.answerDelay = prefix, d
+}
+
+// answerDelayOf returns the delay of the answers of ranges and watches of a prefix.
+func (c *Client) answerDelayOf(prefix string) time.Duration {
+	if c.answerDelay > 0 && strings.HasPrefix(prefix, c.delayedPrefix) {
+		return c.answerDelay
+	}
+	return 0
+}
 
 // SetWatchesSilent sets whether the client's watches get no answer, as if their
 // connections had gone silent. That holds for the watches in progress too, even
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -78,9 +78,12 @@
 	silences int
 	// silentPrefix is the prefix whose reads get no answer, if it is not empty.
 	silentPrefix string
-	// delay is the additional time of each call, answerDelay the additional time
-	// of a watch's answer, both in nanoseconds.
-	delay, answerDelay atomic.Int64
+	// delay is the additional time of each call, in nanoseconds.
+	delay atomic.Int64
+	// answerDelay is how long after they were formed the answers of ranges and
+	// watches under delayedPrefix arrive.
+	answerDelay   time.Duration
+	delayedPrefix string
 }
 
 // Client returns a new client. Each process of a simulated deployment needs its
@@ -191,15 +194,17 @@
 		c.mu.Unlock()
 		return nil, 0, awaitTimeout(ctx, answerTimeout)
 	}
-	defer c.mu.Unlock()
 	var out []sched.Item
 	for k, e := range c.items {
 		if strings.HasPrefix(k, prefix) {
 			out = append(out, e.Item)
 		}
 	}
+	at, delay := c.version, c.answerDelayOf(prefix)
+	c.mu.Unlock()
 	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
-	return out, c.version, nil
+	time.Sleep(delay)
+	return out, at, nil
 }
 
 // Watch implements [sched.MetadataStore].
@@ -229,10 +234,11 @@
 			}
 		}
 		at, changed, next := c.version, c.changed, c.nextExpiry()
+		delay := c.answerDelayOf(prefix)
 		c.mu.Unlock()
 		left := time.Until(deadline)
 		if len(out) > 0 || left <= 0 {
-			time.Sleep(time.Duration(c.answerDelay.Load()))
+			time.Sleep(delay)
 			return out, at, nil
 		}
 		select {
