Send and repeat no start to a worker that is known to drain

Cause: a start that waits for a slot, or whose answer was lost, was judged by the age of the register of workers, not by what the register says now.

Change: a start is not wanted, and not repeated, if its worker drains.

Result: TestWithdrawnStart/worker_drains and TestStartIsNotRepeatedOnDrainingWorker failed before and pass. TestWithdrawnStart/suspended now checks the permission by itself; it had not noticed when that was left out.

--- a/pkg/sched/flow/knowledge_test.go
+++ b/pkg/sched/flow/knowledge_test.go
@@ -94,6 +94,22 @@
 	require.Empty(t, starts)
 }
 
+// draining returns the member as it is listed while it drains.
+func draining(m sched.Member) sched.Member {
+	m.Draining = true
+	return m
+}
+
+// Guards against a start that is repeated although its worker drains.
+func TestStartIsNotRepeatedOnDrainingWorker(t *testing.T) {
+	l := newLeaderWithWork()
+	starts, _ := l.submit("1")
+	l.update(flow.MembersMsg{Members: []sched.Member{draining(starts[0].Member)}})
+	lost := flow.Result{Worker: "w", Sent: l.now, Err: sched.ErrLost}
+	starts, _ = l.update(flow.StartResultMsg{Result: lost, Run: starts[0].Order.Run})
+	require.Empty(t, starts)
+}
+
 // Guards against a withdrawn start that leaves its capacity in use or ends a run.
 func TestWithdrawnStart(t *testing.T) {
 	withdraw := func(l *leaderOfOne, c flow.StartCmd) (starts []flow.StartCmd) {
@@ -124,9 +140,16 @@
 		l := newLeaderWithWork()
 		starts, _ := l.submit("1")
 		require.False(t, l.m.Wanted(l.now.Add(1600*time.Millisecond), "w", starts[0].Order.Run), "the work is old")
-		l.now = l.now.Add(5 * time.Second)
+		l.now = l.now.Add(time.Second)
 		l.update(flow.WorkReadMsg{Asked: l.now})
-		require.False(t, l.m.Wanted(l.now.Add(5*time.Second), "w", starts[0].Order.Run), "the term is not confirmed")
+		require.True(t, l.m.Wanted(l.now.Add(500*time.Millisecond), "w", starts[0].Order.Run))
+		require.False(t, l.m.Wanted(l.now.Add(1400*time.Millisecond), "w", starts[0].Order.Run), "the term is not confirmed")
+	})
+	t.Run("worker drains", func(t *testing.T) {
+		l := newLeaderWithWork()
+		starts, _ := l.submit("1")
+		l.update(flow.MembersMsg{Members: []sched.Member{draining(starts[0].Member)}})
+		require.False(t, l.m.Wanted(l.now, "w", starts[0].Order.Run))
 	})
 	// repeat returns a leader and the second copy of a start that got no answer.
 	repeat := func(t *testing.T) (l *leaderOfOne, starts, repeated []flow.StartCmd) {
--- a/pkg/sched/flow/start.go
+++ b/pkg/sched/flow/start.go
@@ -77,7 +77,7 @@
 
 // Wanted reports whether a start that was ordered should still be sent at time now.
 // Orders may wait for some time before they are sent. Meanwhile the job may have
-// been cancelled, or the process suspended.
+// been cancelled, the worker may drain, or the process may have been suspended.
 func (m *Machine) Wanted(now time.Time, worker sched.WorkerName, id sched.Run) bool {
 	m.now = now
 	w := m.workers[worker]
@@ -85,7 +85,7 @@
 		return false
 	}
 	r := w.runs[id]
-	return r != nil && r.state == runStarting && m.allowedToIssueOrders() && m.knowsEnough()
+	return r != nil && r.state == runStarting && !w.member.Draining && m.allowedToIssueOrders() && m.knowsEnough()
 }
 
 // startWithdrawn handles a start that was not sent. An earlier copy may have been
@@ -178,7 +178,7 @@
 	if r.state != runStarting {
 		return
 	}
-	if r.tries < maxStartTries && m.mayStart() {
+	if r.tries < maxStartTries && !r.worker.member.Draining && m.mayStart() {
 		m.sendStart(r)
 		return
 	}
