Count the entry's own contact with the store, and answers for 1.5 s

Cause: the leader's own entry may record a cancellation while its leader cannot read the work, and only other entries were asked about the store. With one entry that does not answer, the next round of answers came 0.9 s after the last questions, and answers counted for 1 s.

Change: the entry's own contact is reported first, also if there is no other entry. Answers count for 1.5 s.

Result: TestOwnContactIsReported failed before and passes.

--- a/internal/daemon/contact.go
+++ b/internal/daemon/contact.go
@@ -18,8 +18,12 @@
 	contactTimeout = 300 * time.Millisecond
 )
 
-// askPeersForContact implements [leader.AskPeers].
+// askPeersForContact implements [leader.AskPeers]. It also reports when the store last
+// answered this entry, which may record cancellations while its leader cannot read them.
 func (e *Entry) askPeersForContact(ctx context.Context, report func(since time.Duration)) bool {
+	if since, ok := e.jobs.Health().SinceAnswer(); ok {
+		report(since)
+	}
 	peers := e.peers.list(e.Name)
 	if len(peers) == 0 {
 		return true
--- a/internal/daemon/contact_test.go
+++ b/internal/daemon/contact_test.go
@@ -84,6 +84,15 @@
 	require.True(t, newEntry(nil).askPeersForContact(t.Context(), func(time.Duration) {}))
 }
 
+// Guards against a leader that does not know that its own entry records cancellations.
+func TestOwnContactIsReported(t *testing.T) {
+	e := newEntry(nil)
+	e.jobs.Health().Record(nil)
+	reports := 0
+	e.askPeersForContact(t.Context(), func(time.Duration) { reports++ })
+	require.Equal(t, 1, reports)
+}
+
 // Guards against a leader without the store that issues orders although it could know its successor.
 func TestPeerContactNamesNewerLeader(t *testing.T) {
 	e := newEntry(nil)
--- a/pkg/sched/flow/knowledge.go
+++ b/pkg/sched/flow/knowledge.go
@@ -3,8 +3,9 @@
 import "time"
 
 // peersAnswerValid is how long the answers of other entries about the store are
-// valid, counted from when they were asked.
-const peersAnswerValid = time.Second
+// valid, counted from when they were asked. It covers two rounds of questions in
+// which one entry does not answer.
+const peersAnswerValid = 1500 * time.Millisecond
 
 // WorkReadMsg reports that all jobs and cancellations that were recorded before
 // Asked have been delivered. Asked is when the store was asked.
@@ -26,15 +27,18 @@
 }
 
 // knowsEnough reports whether the machine knows the jobs, the cancellations and the
-// register of workers well enough to start tasks. A part of the time within which a
-// cancellation, or the draining of a worker, takes effect is left for the order.
+// register of workers well enough to start tasks. The rest of the time within which a
+// cancellation, or the draining of a worker, takes effect is left for the order. It is
+// a smaller part for the register, which is read less often.
 func (m *Machine) knowsEnough() bool {
 	return m.isCurrent(m.workReadAt, m.cancelTime/2) && m.isCurrent(m.registerReadAt, m.drainTime*3/4)
 }
 
 // isCurrent reports whether something that was read completely at the given time is
-// known well enough: that is at most maxAge ago, or the store has answered no entry
-// since, so that nothing was recorded. A zero time means that reads are not reported.
+// known well enough: that is at most maxAge ago, or the store has been down since. It
+// counts as down if, as far as other entries said within peersAnswerValid, it has
+// answered nobody later than maxAge after the read. A zero time means that reads are
+// not reported.
 func (m *Machine) isCurrent(readAt time.Time, maxAge time.Duration) bool {
 	if readAt.IsZero() || m.now.Sub(readAt) <= maxAge {
 		return true
