--- a/internal/orders/dispatcher.go
+++ b/internal/orders/dispatcher.go
@@ -52,7 +52,7 @@
 const procedure = "/mangoslip.Relay/Carry"
 
 // Order is an order to a worker. Exactly one of the pointers is set. Timeout counts
-// from the receipt by the dispatcher.
+// from the beginning of the exchange with the worker.
 type Order struct {
 	ID       uint64               `cbor:"1,keyasint"`
 	Worker   sched.WorkerName     `cbor:"2,keyasint"`
--- a/internal/orders/expiry.go
+++ b/internal/orders/expiry.go
@@ -99,8 +99,8 @@
 
 // timeout returns the timeout of the exchange with the worker, or an error if the
 // order must not be sent any more. process is that of the order's batch. The
-// exchange ends when the leader gives the order up, which is dispatchAllowance
-// after its expiry.
+// exchange ends at most batchTimeout after the leader gives the order up, which is
+// dispatchAllowance after its expiry.
 func (d *Dispatcher) timeout(process string, o *Order) (time.Duration, error) {
 	if o.Start == nil || process == "" {
 		return o.Timeout, nil
--- a/internal/orders/pool.go
+++ b/internal/orders/pool.go
@@ -74,7 +74,6 @@
 	reading reading
 	// running means that a goroutine sends batches to the dispatcher.
 	running bool
-	wake    chan struct{}
 }
 
 // PoolOption changes a setting of a [Pool].
@@ -154,7 +153,7 @@
 	for _, addr := range p.dispatchers() {
 		l := p.links[addr]
 		if l == nil {
-			l = &link{addr: addr, pending: map[uint64]chan Result{}, wake: make(chan struct{}, 1)}
+			l = &link{addr: addr, pending: map[uint64]chan Result{}}
 			p.links[addr] = l
 		}
 		l.mu.Lock()
@@ -195,7 +194,6 @@
 		}()
 	}
 	l.mu.Unlock()
-	l.signal()
 	t := time.NewTimer(left + dispatchAllowance)
 	defer t.Stop()
 	select {
@@ -237,13 +235,6 @@
 	return sched.Wrap(fmt.Errorf("%w: %w", sched.ErrLost, errNoResult), "dispatched order", string(m.Worker))
 }
 
-func (l *link) signal() {
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
-}
-
 // run sends batches to a dispatcher while orders or results are outstanding.
 func (p *Pool) run(l *link) {
 	for p.ctx.Err() == nil {
