Log what each part of a change of leaders and of a long wait takes

The logs could not tell the hypotheses of docs/incidents/lost-handover.md apart: the duration of the takeover, the workers that it waited for, the time that messages and scheduling passes take, and the reason why no worker is suitable were not in them.

Change: `term begins` has the time without a leader and that of the campaign; `state read` is a line for each part of the state, and `state loaded` has the time for applying it. `takeover in progress` (every 0.5 s) and `takeover complete` have the duration, the first, the middle and the last answer, the tasks held up and up to eight workers without an answer. `task waits` (three a second at most, after a wait of 2 s) counts the workers by the first reason why they are not suitable. `slow update` (50 ms or more) and `state machine is busy` (one a second at most, from half of the time on) have the durations of updates and passes and the counts behind them. Decisions do not depend on the new stopwatch.

--- a/internal/leader/elect.go
+++ b/internal/leader/elect.go
@@ -4,20 +4,26 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"time"
 
 	"github.com/mangoslip/mangoslip/internal/layout"
 	"github.com/mangoslip/mangoslip/pkg/sched"
 )
 
 // campaignInput is what an entry reads from the store before it campaigns.
-// lastTerm is the zero item if there has been no term yet.
-type campaignInput struct{ lastTerm sched.Item }
+// lastTerm is the zero item if there has been no term yet. vacantSince is when this
+// entry noticed that no entry leads.
+type campaignInput struct {
+	lastTerm    sched.Item
+	vacantSince time.Time
+}
 
 // follow waits until no entry leads. It also reports whether the store was
 // unreachable just before.
 func (l *Leader) follow(ctx context.Context) (campaignInput, bool) {
 	outage := false
 	retry := newStoreBackoff()
+	vacantSince := l.now()
 	for ctx.Err() == nil {
 		// Range also returns the version of the store, from which a watch can
 		// start. The version of the item may be older than the history that the
@@ -26,12 +32,13 @@
 		if err == nil && len(items) == 0 {
 			term, err := l.store.Get(ctx, layout.TermKey)
 			if err == nil || errors.Is(err, sched.ErrNotFound) {
-				return campaignInput{term}, outage
+				return campaignInput{term, vacantSince}, outage
 			}
 		}
 		if err == nil && len(items) > 0 {
 			retry.Reset()
 			outage = l.watchLeader(ctx, items[0], version)
+			vacantSince = l.now()
 			continue
 		}
 		if !outage && ctx.Err() == nil {
@@ -90,6 +97,7 @@
 			return nil, sched.Wrap(err, "decode term", layout.TermKey)
 		}
 	}
+	began := l.now()
 	lease, ttl, err := l.store.Grant(ctx, l.ttl)
 	if err != nil {
 		return nil, err
@@ -111,7 +119,8 @@
 	if err != nil {
 		return nil, err
 	}
-	l.log.Info("term begins", "term", next.Number, "version", version, "ttl", ttl, "previous", last.Name)
+	l.log.Info("term begins", "term", next.Number, "version", version, "ttl", ttl, "previous", last.Name,
+		"vacant", l.now().Sub(in.vacantSince), "took", l.now().Sub(began))
 	t := newTerm(ctx, l, next, version, lease)
 	l.mu.Lock()
 	l.term, l.knownLeader = t, me
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/mangoslip/mangoslip/internal/guard"
@@ -42,6 +43,10 @@
 	machine *flow.Machine
 	// broken means that the machine has panicked.
 	broken bool
+	// updates adds up the recent updates, and waiting counts the messages that wait
+	// for the lock or are being delivered.
+	updates updateTotals
+	waiting atomic.Int64
 	// confirmedAt is the start of the most recent call to the store that showed
 	// the term to be the newest.
 	confirmedAt time.Time
@@ -78,7 +83,7 @@
 		x.orderSlots = make(chan struct{}, maxDispatchedOrders)
 	}
 	wall := flow.WithWallClock(func(time.Time) int64 { return time.Now().UnixMilli() })
-	x.machine = flow.New(t.Number, append([]flow.Option{wall}, l.MachineOptions...)...)
+	x.machine = flow.New(t.Number, append([]flow.Option{wall, flow.WithStopwatch(time.Now)}, l.MachineOptions...)...)
 	return x
 }
 
@@ -147,6 +152,7 @@
 	if err != nil {
 		return 0, err
 	}
+	read := t.l.now()
 	progress := storedProgress.byKey()
 	t.post(flow.ConfirmedMsg{Asked: t.confirmedAt})
 	t.l.mu.Lock()
@@ -175,7 +181,8 @@
 	}
 	t.post(takeover)
 	t.l.log.Info("state loaded", "term", t.number, "items", len(work.items), "progress", len(storedProgress.items),
-		"members", len(members.items), "roster", len(takeover.Roster), "took", t.l.now().Sub(t.started))
+		"members", len(members.items), "roster", len(takeover.Roster), "took", t.l.now().Sub(t.started),
+		"applied", t.l.now().Sub(read))
 	t.l.mu.Lock()
 	t.loaded = true
 	t.l.mu.Unlock()
@@ -185,9 +192,11 @@
 // rangeWithRetry reads the items under a prefix, and retries until this succeeds
 // or the term ends.
 func (t *term) rangeWithRetry(prefix string) (reading, error) {
+	began := t.l.now()
 	for {
 		r, err := t.read(prefix)
 		if err == nil {
+			t.l.log.Info("state read", "term", t.number, "prefix", prefix, "items", len(r.items), "took", t.l.now().Sub(began))
 			return r, nil
 		}
 		t.l.log.Warn("state not loaded", "term", t.number, "prefix", prefix, "error", err)
@@ -216,8 +225,12 @@
 // update delivers a message to the state machine. After a panic the state may be
 // inconsistent, so the machine gets no further message.
 func (t *term) update(msg sched.Msg) (cmds []sched.Cmd, err error) {
+	m := t.measure(msg)
+	defer m.log()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	m.begin()
+	defer m.end()
 	if t.broken {
 		return nil, nil
 	}
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -74,6 +74,8 @@
 	commits        commits
 	roster         roster
 	recovery       recovery
+	recoveryLog    recoveryLog
+	waitsLoggedAt  time.Time
 	interference   interference
 	estimateRecord estimateRecord
 	runtimes       runtimes
@@ -84,6 +86,7 @@
 	nextPass time.Time
 	// ratings counts how many times the current pass rated a worker for a task.
 	ratings int
+	effort  Effort
 	// preemptedAt is when a pass last looked for runs to preempt.
 	preemptedAt time.Time
 	// usableCapacity caches the capacity of the usable workers, and criticalFree
@@ -157,7 +160,7 @@
 	if m.lost {
 		return nil
 	}
-	m.now, m.cmds = now, nil
+	m.now, m.cmds, m.effort = now, nil, Effort{}
 	// The process may have been paused since the last message, so that the
 	// permission or the knowledge of work and workers has expired without a tick.
 	m.updateMayIssueOrders()
@@ -226,6 +229,8 @@
 	m.stopStalled()
 	m.consolidate()
 	m.dropEndedJobs()
+	m.logRecovery()
+	m.logWaits()
 	m.stale = true
 }
 
--- a/pkg/sched/flow/options.go
+++ b/pkg/sched/flow/options.go
@@ -43,6 +43,8 @@
 	resumeTime                      time.Duration
 	cancelTime, drainTime           time.Duration
 	wallMillis                      func(time.Time) int64
+	// stopwatch is nil if durations are not measured.
+	stopwatch func() time.Time
 }
 
 func defaults() options {
--- a/pkg/sched/flow/preempt.go
+++ b/pkg/sched/flow/preempt.go
@@ -27,6 +27,7 @@
 		return
 	}
 	m.preemptedAt = m.now
+	defer m.timed(&m.effort.Preempt)()
 	soon := map[*worker]sched.Resources{}
 	for _, w := range m.order {
 		soon[w] = w.freeAfterStops()
--- a/pkg/sched/flow/recover.go
+++ b/pkg/sched/flow/recover.go
@@ -56,6 +56,7 @@
 		m.recovery.unanswered[w] = true
 	}
 	m.recovery.total = len(m.order)
+	m.recoveryLog = recoveryLog{beganAt: m.now, loggedAt: m.now}
 	m.roster.dirty = true
 	m.log("takeover started", "term", m.term, "workers", len(m.order), "jobs", len(m.live))
 	for _, w := range m.order {
@@ -81,7 +82,7 @@
 		return
 	}
 	r.active = false
-	m.log("takeover complete", "term", m.term, "silent", len(r.unanswered))
+	m.log("takeover complete", append([]any{"term", m.term, "silent", len(r.unanswered)}, m.recoveryAttrs()...)...)
 	for _, j := range m.live {
 		j.inherited = false
 		for _, t := range j.tasks() {
--- a/pkg/sched/flow/renewal.go
+++ b/pkg/sched/flow/renewal.go
@@ -263,6 +263,7 @@
 	if first && !w.renewal.more {
 		w.answered, w.answeredAt = true, m.now
 		m.recovery.answered(w)
+		m.noteAnswer(w)
 		m.endRecovery()
 		m.stale = true
 	}
--- a/pkg/sched/flow/schedule.go
+++ b/pkg/sched/flow/schedule.go
@@ -24,9 +24,16 @@
 		return
 	}
 	m.stale, m.ratings = false, 0
-	defer func() { m.nextPass = m.now.Add(passInterval + time.Duration(m.ratings)*passIntervalPerRating) }()
 	p := pass{m: m, unmet: map[unmetRequest]sched.Resources{}}
-	for _, s := range m.waitingSteps() {
+	stop := m.timed(&m.effort.Pass)
+	defer func() {
+		stop()
+		m.effort.Ratings, m.effort.Starts = m.ratings, p.starts
+		m.nextPass = m.now.Add(passInterval + time.Duration(m.ratings)*passIntervalPerRating)
+	}()
+	steps := m.waitingSteps()
+	m.effort.Steps = len(steps)
+	for _, s := range steps {
 		p.placeStep(s)
 		if p.starts >= maxStartsPerPass {
 			m.stale = true
@@ -38,6 +45,7 @@
 
 // waitingSteps returns the steps with waiting tasks, the most urgent first.
 func (m *Machine) waitingSteps() []*step {
+	defer m.timed(&m.effort.Order)()
 	var out []*step
 	for _, j := range m.live {
 		for _, o := range j.occurrences {
