Renew the leader's lease without waiting for the state machine

Cause: the loop that renews the lease stored its times under the lock of the state machine and delivered confirmations of the term to it. Up to 531 messages waited for that lock, for up to 1.48 s (`state machine is busy … longestWait= waiting=`), and the renewal with them. The next leader is no faster, so the term went round.

Change: the times of contact with the store have a lock of their own, and a separate loop reads the term if its confirmation is old. A state machine that stands still does not keep the lease: the work is not read either then, and the leader resigns after 5 s as before (read in the code, no test).

--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -68,9 +68,7 @@
 // recordWorkRead records that all jobs and cancellations up to asked were
 // delivered.
 func (t *term) recordWorkRead(asked time.Time) {
-	t.mu.Lock()
-	t.workReadAt = asked
-	t.mu.Unlock()
+	t.contact.workRead(asked)
 	t.post(flow.WorkReadMsg{Asked: asked})
 }
 
@@ -196,9 +194,7 @@
 		}
 	}
 	t.mu.Unlock()
-	t.mu.Lock()
-	t.registerReadAt = r.asked
-	t.mu.Unlock()
+	t.contact.registerRead(r.asked)
 	t.post(flow.MembersMsg{Members: members, Asked: r.asked})
 }
 
@@ -234,19 +230,23 @@
 	}
 }
 
-// maintainLease renews the leader's lease at intervals, and reads the term when
-// its last confirmation is too old.
+// maintainLease renews the leader's lease at intervals. It never waits for the state
+// machine.
 func (t *term) maintainLease() {
 	for t.ctx.Err() == nil {
 		pause(t.ctx, renewInterval)
 		t.renewLease()
-		t.mu.Lock()
-		age := t.l.now().Sub(t.confirmedAt)
-		t.mu.Unlock()
 		if t.resignIfUnread() {
 			return
 		}
-		if age > maxConfirmationAge {
+	}
+}
+
+// confirm reads the term when its last confirmation is too old.
+func (t *term) confirm() {
+	for t.ctx.Err() == nil {
+		pause(t.ctx, renewInterval)
+		if t.l.now().Sub(t.contact.confirmed(time.Time{})) > maxConfirmationAge {
 			t.confirmTerm()
 		}
 	}
@@ -254,9 +254,8 @@
 
 // workAge returns the age of the last complete read of the jobs and cancellations.
 func (t *term) workAge() time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.l.now().Sub(t.workReadAt)
+	work, _ := t.contact.reads()
+	return t.l.now().Sub(work)
 }
 
 // checkPeerContact asks other entries about the store while this entry has not read
@@ -291,7 +290,7 @@
 	defer func() { t.lease <- lease }()
 	asked := t.l.now()
 	err := t.l.store.Renew(t.ctx, lease)
-	t.recordRenewal(asked, err == nil)
+	t.contact.renewed(asked, err == nil, t.l.ttl)
 	if !errors.Is(err, sched.ErrNoLease) {
 		return // The next renewal follows soon, and other calls confirm the term.
 	}
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -34,6 +34,7 @@
 	orderSlots chan struct{}
 	// timeouts determines the timeouts of the orders.
 	timeouts answerTimeout
+	contact  contact
 
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -47,16 +48,6 @@
 	// for the lock or are being delivered.
 	updates updateTotals
 	waiting atomic.Int64
-	// confirmedAt is the start of the most recent call to the store that showed
-	// the term to be the newest.
-	confirmedAt time.Time
-	// workReadAt is the start of the most recent call to the store that completed
-	// the jobs and cancellations that the state machine knows, registerReadAt that
-	// of the most recent read of the register of workers.
-	workReadAt, registerReadAt time.Time
-	// renewedSince is since when each renewal of the leader's lease has succeeded,
-	// zero if the last one failed. renewedAt is when the last one was sent.
-	renewedSince, renewedAt time.Time
 	// loggedInvalid holds the keys of the register of workers that have been
 	// logged as invalid.
 	loggedInvalid map[string]bool
@@ -72,7 +63,7 @@
 ) *term {
 	x := &term{
 		l: l, number: t.Number, version: version, lease: make(chan sched.LeaseID, 1), started: l.now(),
-		confirmedAt: l.now(), loggedInvalid: map[string]bool{},
+		contact: contact{confirmedAt: l.now()}, loggedInvalid: map[string]bool{},
 		orderSlots: make(chan struct{}, maxDirectOrders),
 	}
 	x.lease <- lease
@@ -97,6 +88,7 @@
 		t.spawn("watch work", func() { t.watchWork(after) })
 		t.spawn("read workers", t.pollMembers)
 		t.spawn("maintain lease", t.maintainLease)
+		t.spawn("confirm term", t.confirm)
 		t.spawn("tick", t.tick)
 		t.spawn("check peers' contact", t.checkPeerContact)
 		t.spawn("transfer leadership", t.transferToStronger)
@@ -154,7 +146,7 @@
 	}
 	read := t.l.now()
 	progress := storedProgress.byKey()
-	t.post(flow.ConfirmedMsg{Asked: t.confirmedAt})
+	t.post(flow.ConfirmedMsg{Asked: t.contact.confirmed(time.Time{})})
 	t.l.mu.Lock()
 	fleet := t.l.fleet
 	t.l.mu.Unlock()
@@ -320,11 +312,5 @@
 // recordConfirmation records that the store showed the term to be the newest, in
 // answer to a call that began at asked.
 func (t *term) recordConfirmation(asked time.Time) {
-	t.mu.Lock()
-	if asked.After(t.confirmedAt) {
-		t.confirmedAt = asked
-	}
-	asked = t.confirmedAt
-	t.mu.Unlock()
-	t.post(flow.ConfirmedMsg{Asked: asked})
+	t.post(flow.ConfirmedMsg{Asked: t.contact.confirmed(asked)})
 }
--- a/internal/leader/unread.go
+++ b/internal/leader/unread.go
@@ -39,17 +39,16 @@
 	t.l.mu.Lock()
 	loaded := t.loaded
 	t.l.mu.Unlock()
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	since, limit := t.started, maxLoadTime
 	if loaded {
-		since, limit = earlier(t.workReadAt, t.registerReadAt), maxUnreadTime
+		since, limit = earlier(t.contact.reads()), maxUnreadTime
 	}
-	if t.renewedSince.IsZero() {
+	renewedSince := t.contact.renewals()
+	if renewedSince.IsZero() {
 		return 0, limit
 	}
-	if t.renewedSince.After(since) {
-		since = t.renewedSince
+	if renewedSince.After(since) {
+		since = renewedSince
 	}
 	return t.l.now().Sub(since), limit
 }
@@ -61,20 +60,6 @@
 	return b
 }
 
-// recordRenewal records whether the leader's lease was renewed by a call that began
-// at asked. After a suspension of the process the lease counts as renewed since then.
-func (t *term) recordRenewal(asked time.Time, renewed bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	switch {
-	case !renewed:
-		t.renewedSince = time.Time{}
-	case t.renewedSince.IsZero() || asked.Sub(t.renewedAt) > t.l.ttl:
-		t.renewedSince = asked
-	}
-	t.renewedAt = asked
-}
-
 // pauseCampaigns keeps the entry from campaigning for d.
 func (l *Leader) pauseCampaigns(d time.Duration) {
 	l.mu.Lock()
