Place perpetual tasks that lost their run before short ones after 3 s

Cause: short tasks always come before perpetual ones. After the loss of 15 % of the workers they took all capacity that became free: `task waits` counted 0 to 9 suitable workers a second for tasks that had waited up to 14 s, and none of these got one.

Change: a perpetual task whose run ended 3 s ago or longer comes before short tasks, and may use the reserve. Users expect such a task to run again within 6 s. Perpetual tasks that have not run yet stay behind short ones. When a run ended is part of the stored progress, so that the wait does not begin again with each leader; older builds ignore the field.

--- a/internal/emul/worker.go
+++ b/internal/emul/worker.go
@@ -117,6 +117,16 @@
 // Running returns the number of runs on the worker.
 func (w *Worker) Running() int { return len(w.runs) }
 
+// RunningOf returns the number of a job's runs on the worker.
+func (w *Worker) RunningOf(id sched.JobID) (n int) {
+	for r := range w.runs {
+		if r.Task.Job == id {
+			n++
+		}
+	}
+	return n
+}
+
 // SetSlow sets the factor by which runs take longer.
 func (w *Worker) SetSlow(factor float64) {
 	w.advance()
--- a/pkg/sched/flow/codec.go
+++ b/pkg/sched/flow/codec.go
@@ -29,6 +29,9 @@
 	// Failed lists the numbers of the failed runs of each task.
 	Failed      map[int][]uint64 `cbor:"2,keyasint,omitempty"`
 	Checkpoints map[int]string   `cbor:"3,keyasint,omitempty"`
+	// Away holds when the last run of a perpetual task without a run ended, as Unix
+	// time in milliseconds. Older builds ignore it.
+	Away map[int]int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // encodeProgress returns the stored form of a job's progress.
@@ -66,6 +69,12 @@
 				}
 				ps.Checkpoints[i] = t.checkpoint
 			}
+			if t.awayMillis != 0 && len(t.runs) == 0 {
+				if ps.Away == nil {
+					ps.Away = map[int]int64{}
+				}
+				ps.Away[i] = t.awayMillis
+			}
 			if len(t.failed) > 0 {
 				if ps.Failed == nil {
 					ps.Failed = map[int][]uint64{}
@@ -105,6 +114,7 @@
 		s := o.steps[i]
 		for n, t := range s.tasks {
 			t.failed, t.checkpoint = ps.Failed[n], ps.Checkpoints[n]
+			m.restoreAway(t, ps.Away[n])
 			if n/8 < len(ps.Done) && ps.Done[n/8]&(1<<(n%8)) != 0 {
 				t.phase = phaseDone
 				s.remaining--
--- a/pkg/sched/flow/job.go
+++ b/pkg/sched/flow/job.go
@@ -111,6 +111,10 @@
 	avoid []sched.WorkerName
 	// queuedAt is when the task last began to wait for a worker.
 	queuedAt time.Time
+	// awaySince is when the last known run of a perpetual task ended, zero if none has.
+	// awayMillis is the same as Unix time in milliseconds.
+	awaySince  time.Time
+	awayMillis int64
 	// mayBeRunning means that an earlier leader may have started the task on a
 	// worker that has not answered yet.
 	mayBeRunning bool
--- a/pkg/sched/flow/outcome.go
+++ b/pkg/sched/flow/outcome.go
@@ -13,6 +13,9 @@
 	m.log("run ended", "id", t.job().spec.ID, "task", t.name(), "run", r.number, "worker", w.name(), "how", how,
 		"cause", r.stopCause, "took", m.now.Sub(r.firstSent), "percent", r.percent)
 	m.detach(r)
+	if !r.knownAt.IsZero() {
+		m.noteAway(t)
+	}
 	m.learnFromEnd(r, how)
 	if how == sched.EndDone && m.hiddenFromEarlierLeaders(r) {
 		t.step.successHidden = true
--- a/pkg/sched/flow/place.go
+++ b/pkg/sched/flow/place.go
@@ -75,8 +75,8 @@
 	capacity := max(float64(w.member.Capacity.CPU), 1)
 	left := float64(w.free().CPU - s.Need().CPU)
 	// After maxReserveWait a perpetual task may use the reserve if the pool has
-	// free capacity for two of them.
-	if s.Perpetual && m.usesReserve(s.Need().CPU) && (waited < maxReserveWait || !m.poolFitsTwo(t.step)) {
+	// free capacity for two of them, or if the task has been away too long.
+	if s.Perpetual && m.usesReserve(s.Need().CPU) && (waited < maxReserveWait || !m.poolFitsTwo(t.step)) && !m.awayTooLong(t) {
 		return 0, false
 	}
 	memory := float64(w.free().Memory-s.Need().Memory) / float64(max(w.member.Capacity.Memory, 1))
--- a/pkg/sched/flow/renewal.go
+++ b/pkg/sched/flow/renewal.go
@@ -299,6 +299,7 @@
 		return
 	}
 	m.log("end of an untracked run", "id", t.job().spec.ID, "task", t.name(), "run", e.Run.Number, "worker", w.name(), "how", e.How)
+	m.noteAway(t)
 	m.taskEnded(t, w, e.Run.Number, e.How, e.Saved)
 }
 
--- a/pkg/sched/flow/schedule.go
+++ b/pkg/sched/flow/schedule.go
@@ -94,6 +94,9 @@
 	u := urgency{priority: q.Priority}
 	if s.spec.Perpetual {
 		u.late, u.by = latePerpetual, s.readyAt
+		if since := m.awayLongest(s); !since.IsZero() {
+			u.late, u.by = lateAway, since
+		}
 		return u
 	}
 	chain := m.chain(s.occ)
@@ -113,9 +116,11 @@
 	return u
 }
 
-// Values of urgency.late above 0 (on time) and 1 (late). Short tasks come
-// before perpetual ones because they free their capacity soon.
+// Values of urgency.late other than 0 (on time) and 1 (late). Short tasks come
+// before perpetual ones because they free their capacity soon, except before those
+// that have been away too long.
 const (
+	lateAway      = -1
 	latePerpetual = 2
 	lateWorthless = 3
 )
@@ -174,6 +179,7 @@
 	bestEffort bool
 	image      string
 	perpetual  bool
+	away       bool
 	// waitLevel counts the waiting times that the task has exceeded. Each one
 	// permits workers that were excluded before.
 	waitLevel int
@@ -214,8 +220,9 @@
 		defer p.m.askAdvice(s, q)
 	}
 	ranks := ranking{m: p.m, q: q}
+	f.away = !p.m.awayLongest(s).IsZero()
 	for _, t := range s.tasks {
-		if t.phase != phaseQueued || p.starts >= maxStartsPerPass {
+		if t.phase != phaseQueued || p.starts >= maxStartsPerPass || f.away && !p.m.awayTooLong(t) {
 			continue
 		}
 		f.waitLevel = p.m.waitLevel(t)
