Count perpetual tasks whose end no leader saw as ones that lost their run

Cause: if a worker leaves while no leader watches it, nobody records the end of its runs. The next leader takes these tasks for new ones, which wait behind all short ones.

Change: a waiting perpetual task of an earlier term counts as one that lost its run when the term began, if its job has started. A new task of a job that has partly started counts too; the two cannot be told apart.

Result: TestLostPerpetualTaskRunsAgain/end_unknown_to_the_next_leader failed before and passes. In /new_tasks_come_after_short_ones a job of which no task has run still waits under the next leader.

--- a/pkg/sched/flow/away.go
+++ b/pkg/sched/flow/away.go
@@ -17,9 +17,18 @@
 	m.markChanged(t.job())
 }
 
+// noteInherited records that an earlier leader may have started a perpetual task whose
+// end is unknown. If its job has started, the task counts as one that lost its run when
+// this term began.
+func (m *Machine) noteInherited(t *task) {
+	if t.step.spec.Perpetual && t.job().inherited && t.awaySince.IsZero() {
+		t.awaySince = m.now
+	}
+}
+
 // awayTooLong reports whether a task waits that lost its run longer ago than maxAway.
 func (m *Machine) awayTooLong(t *task) bool {
-	return t.phase == phaseQueued && !t.awaySince.IsZero() && m.now.Sub(t.awaySince) >= maxAway
+	return t.phase == phaseQueued && t.job().started && !t.awaySince.IsZero() && m.now.Sub(t.awaySince) >= maxAway
 }
 
 // awayLongest returns since when the task of a step has been away that lost its run
--- a/pkg/sched/flow/away_test.go
+++ b/pkg/sched/flow/away_test.go
@@ -14,13 +14,15 @@
 // again and again.
 const maxGap = 6 * time.Second
 
+// serve is a perpetual step.
+var serve = sched.StepSpec{Count: 27, Resources: sched.Resources{CPU: 6000, Memory: gib}, Perpetual: true}
+
 // crowded returns workers with perpetual tasks beside more short tasks than fit.
-func crowded(t *testing.T) (*emul.Emulator, *emul.Leader, sched.StepSpec) {
+func crowded(t *testing.T) (*emul.Emulator, *emul.Leader) {
 	e := emul.New(29)
 	e.AddWorkers(9, sched.Resources{CPU: 32000, Memory: 125 * gib})
 	e.AddQueue(sched.Queue{Name: "Serve"})
 	l := e.Lead()
-	serve := sched.StepSpec{Count: 27, Resources: sched.Resources{CPU: 6000, Memory: gib}, Perpetual: true}
 	e.Submit(&sched.Workflow{ID: "serve", Queue: "Serve", Steps: []sched.StepSpec{serve}}, emul.Work{})
 	e.RunFor(2 * time.Second)
 	require.Equal(t, 27, running(e, "serve"))
@@ -29,7 +31,7 @@
 		Rate:  30, Steps: 1, Width: 6, Duration: 700 * time.Millisecond, Need: sched.Resources{CPU: 3000, Memory: gib},
 	}, time.Minute)
 	e.RunFor(3 * time.Second)
-	return e, l, serve
+	return e, l
 }
 
 // running returns the number of runs of a job.
@@ -44,7 +46,7 @@
 // tasks take all capacity that becomes free.
 func TestLostPerpetualTaskRunsAgain(t *testing.T) {
 	t.Run("drain", func(t *testing.T) {
-		e, _, _ := crowded(t)
+		e, _ := crowded(t)
 		e.Workers[0].Drain(2 * time.Second)
 		e.RunFor(time.Second)
 		require.Less(t, running(e, "serve"), 27)
@@ -53,7 +55,7 @@
 	})
 
 	t.Run("leader changes meanwhile", func(t *testing.T) {
-		e, l, _ := crowded(t)
+		e, l := crowded(t)
 		e.Workers[0].Drain(20 * time.Second)
 		e.RunFor(2500 * time.Millisecond)
 		l.Kill()
@@ -63,11 +65,28 @@
 		requireNoViolations(t, e)
 	})
 
+	t.Run("end unknown to the next leader", func(t *testing.T) {
+		e, l := crowded(t)
+		l.Kill()
+		e.Workers[0].Remove()
+		e.RunFor(1500 * time.Millisecond)
+		l = e.Lead()
+		require.True(t, e.RunUntil(10*time.Second, func() bool { return !l.Machine.Totals().Recovering }))
+		require.True(t, e.RunUntil(maxGap-3*time.Second, func() bool { return running(e, "serve") == 27 }))
+		requireNoViolations(t, e)
+	})
+
 	t.Run("new tasks come after short ones", func(t *testing.T) {
-		e, _, serve := crowded(t)
-		serve.Count = 9
-		e.Submit(&sched.Workflow{ID: "new", Queue: "Serve", Steps: []sched.StepSpec{serve}}, emul.Work{})
+		e, l := crowded(t)
+		step := serve
+		step.Count = 9
+		e.Submit(&sched.Workflow{ID: "new", Queue: "Serve", Steps: []sched.StepSpec{step}}, emul.Work{})
 		e.RunFor(maxGap)
 		require.Zero(t, running(e, "new"))
+		l.Kill()
+		e.RunFor(1500 * time.Millisecond)
+		e.Lead()
+		e.RunFor(maxGap)
+		require.Zero(t, running(e, "new"), "nor under the next leader")
 	})
 }
--- a/pkg/sched/flow/job.go
+++ b/pkg/sched/flow/job.go
@@ -153,6 +153,7 @@
 		return
 	}
 	t.phase, t.queuedAt = phaseQueued, m.now
+	m.noteInherited(t)
 	t.step.queued++
 	m.stale = true
 }
