--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/mangoslip/mangoslip/internal/guard"
@@ -33,6 +34,7 @@
 	orderSlots chan struct{}
 	// timeouts determines the timeouts of the orders.
 	timeouts answerTimeout
+	contact  contact
 
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -42,16 +44,10 @@
 	machine *flow.Machine
 	// broken means that the machine has panicked.
 	broken bool
-	// confirmedAt is the start of the most recent call to the store that showed
-	// the term to be the newest.
-	confirmedAt time.Time
-	// workReadAt is the start of the most recent call to the store that completed
-	// the jobs and cancellations that the state machine knows, registerReadAt that
-	// of the most recent read of the register of workers.
-	workReadAt, registerReadAt time.Time
-	// renewedSince is since when each renewal of the leader's lease has succeeded,
-	// zero if the last one failed. renewedAt is when the last one was sent.
-	renewedSince, renewedAt time.Time
+	// updates adds up the recent updates, and waiting counts the messages that wait
+	// for the lock or are being delivered.
+	updates updateTotals
+	waiting atomic.Int64
 	// loggedInvalid holds the keys of the register of workers that have been
 	// logged as invalid.
 	loggedInvalid map[string]bool
@@ -67,7 +63,7 @@
 ) *term {
 	x := &term{
 		l: l, number: t.Number, version: version, lease: make(chan sched.LeaseID, 1), started: l.now(),
-		confirmedAt: l.now(), loggedInvalid: map[string]bool{},
+		contact: contact{confirmedAt: l.now()}, loggedInvalid: map[string]bool{},
 		orderSlots: make(chan struct{}, maxDirectOrders),
 	}
 	x.lease <- lease
@@ -78,7 +74,7 @@
 		x.orderSlots = make(chan struct{}, maxDispatchedOrders)
 	}
 	wall := flow.WithWallClock(func(time.Time) int64 { return time.Now().UnixMilli() })
-	x.machine = flow.New(t.Number, append([]flow.Option{wall}, l.MachineOptions...)...)
+	x.machine = flow.New(t.Number, append([]flow.Option{wall, flow.WithStopwatch(time.Now)}, l.MachineOptions...)...)
 	return x
 }
 
@@ -92,6 +88,7 @@
 		t.spawn("watch work", func() { t.watchWork(after) })
 		t.spawn("read workers", t.pollMembers)
 		t.spawn("maintain lease", t.maintainLease)
+		t.spawn("confirm term", t.confirm)
 		t.spawn("tick", t.tick)
 		t.spawn("check peers' contact", t.checkPeerContact)
 		t.spawn("transfer leadership", t.transferToStronger)
@@ -147,8 +144,9 @@
 	if err != nil {
 		return 0, err
 	}
+	read := t.l.now()
 	progress := storedProgress.byKey()
-	t.post(flow.ConfirmedMsg{Asked: t.confirmedAt})
+	t.post(flow.ConfirmedMsg{Asked: t.contact.confirmed(time.Time{})})
 	t.l.mu.Lock()
 	fleet := t.l.fleet
 	t.l.mu.Unlock()
@@ -175,7 +173,8 @@
 	}
 	t.post(takeover)
 	t.l.log.Info("state loaded", "term", t.number, "items", len(work.items), "progress", len(storedProgress.items),
-		"members", len(members.items), "roster", len(takeover.Roster), "took", t.l.now().Sub(t.started))
+		"members", len(members.items), "roster", len(takeover.Roster), "took", t.l.now().Sub(t.started),
+		"applied", t.l.now().Sub(read))
 	t.l.mu.Lock()
 	t.loaded = true
 	t.l.mu.Unlock()
@@ -185,9 +184,11 @@
 // rangeWithRetry reads the items under a prefix, and retries until this succeeds
 // or the term ends.
 func (t *term) rangeWithRetry(prefix string) (reading, error) {
+	began := t.l.now()
 	for {
 		r, err := t.read(prefix)
 		if err == nil {
+			t.l.log.Info("state read", "term", t.number, "prefix", prefix, "items", len(r.items), "took", t.l.now().Sub(began))
 			return r, nil
 		}
 		t.l.log.Warn("state not loaded", "term", t.number, "prefix", prefix, "error", err)
@@ -216,8 +217,12 @@
 // update delivers a message to the state machine. After a panic the state may be
 // inconsistent, so the machine gets no further message.
 func (t *term) update(msg sched.Msg) (cmds []sched.Cmd, err error) {
+	m := t.measure(msg)
+	defer m.log()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	m.begin()
+	defer m.end()
 	if t.broken {
 		return nil, nil
 	}
@@ -307,11 +312,5 @@
 // recordConfirmation records that the store showed the term to be the newest, in
 // answer to a call that began at asked.
 func (t *term) recordConfirmation(asked time.Time) {
-	t.mu.Lock()
-	if asked.After(t.confirmedAt) {
-		t.confirmedAt = asked
-	}
-	asked = t.confirmedAt
-	t.mu.Unlock()
-	t.post(flow.ConfirmedMsg{Asked: asked})
+	t.post(flow.ConfirmedMsg{Asked: t.contact.confirmed(asked)})
 }
