Let a new leader wait only for workers that can have runs

A new leader waited for an answer of every worker that it knew before it started inherited tasks. A worker that is in the register but not in the durable roster cannot have been given a start, since a leader uses a worker only once the roster with it is durable. A worker that just joined and does not answer yet held up all inherited tasks for the leases, 6.6 s.

The recovery now waits for the workers of the roster. Without a roster it waits for all. The count for the permission of an earlier leader is unchanged: an idle worker answers that leader, too.

TestTakeoverDoesNotWaitForWorkersThatJustJoined failed before: go test ./pkg/sched/flow -run TestTakeoverDoesNotWait expected: 1, actual: 0 (runs after 0.5 s)

--- a/pkg/sched/flow/recover.go
+++ b/pkg/sched/flow/recover.go
@@ -13,9 +13,13 @@
 	active bool
 	// until is when the leases of an earlier leader have expired. It is zero until
 	// at least half of the workers reject that leader's orders or are gone.
-	until      time.Time
+	until time.Time
+	// total counts the workers that were known at the start of the term. unanswered
+	// holds those of them that have not answered in this term.
 	total      int
 	unanswered map[*worker]bool
+	// holders holds the unanswered workers that may have runs of an earlier leader.
+	holders map[*worker]bool
 }
 
 // unlistedGoneAfter is how long a worker has to be missing from the register
@@ -37,34 +41,43 @@
 }
 
 // answered records that a worker has answered in this term.
-func (r *recovery) answered(w *worker) { delete(r.unanswered, w) }
+func (r *recovery) answered(w *worker) {
+	delete(r.unanswered, w)
+	delete(r.holders, w)
+}
 
 // waitsFor reports whether the recovery waits for an answer of the worker.
 func (r *recovery) waitsFor(w *worker) bool { return r.active && r.unanswered[w] }
 
-// takeOver begins to ask every worker of the roster for its runs.
+// takeOver begins to ask every worker for its runs. Only workers of the roster can
+// have runs. Without a roster this is unknown, and all workers may have some.
 func (m *Machine) takeOver(msg TakeoverMsg) {
 	m.loaded, m.roster.version = true, msg.Version
 	m.restoreEstimates(msg.Interference, msg.InterferenceVersion)
-	m.recovery = recovery{active: true, unanswered: map[*worker]bool{}}
+	m.recovery = recovery{active: true, unanswered: map[*worker]bool{}, holders: map[*worker]bool{}}
 	for _, mb := range msg.Roster {
 		if m.workers[mb.Worker] == nil {
 			m.addWorker(mb).unlistedAt = m.now
 		}
+		m.recovery.holders[m.workers[mb.Worker]] = true
 	}
 	for _, w := range m.order {
 		m.recovery.unanswered[w] = true
+		if len(msg.Roster) == 0 {
+			m.recovery.holders[w] = true
+		}
 	}
 	m.recovery.total = len(m.order)
 	m.roster.dirty = true
-	m.log("takeover started", "term", m.term, "workers", len(m.order), "jobs", len(m.live))
+	m.log("takeover started", "term", m.term, "workers", len(m.order),
+		"holders", len(m.recovery.holders), "jobs", len(m.live))
 	for _, w := range m.order {
 		m.maintainWorker(w)
 	}
 }
 
-// endRecovery ends the recovery once every worker has answered, or once the
-// leases of the other workers have expired.
+// endRecovery ends the recovery once every worker that may have runs has answered,
+// or once the leases of the others have expired.
 func (m *Machine) endRecovery() {
 	r := &m.recovery
 	if !r.active {
@@ -77,11 +90,11 @@
 		confirmation := max(confirmationValid, answerValid)
 		r.until = m.now.Add(confirmation + time.Duration(float64(m.lease)*clockDrift) + maxOrderDelay)
 	}
-	if len(r.unanswered) > 0 && (r.until.IsZero() || m.now.Before(r.until)) {
+	if len(r.holders) > 0 && (r.until.IsZero() || m.now.Before(r.until)) {
 		return
 	}
 	r.active = false
-	m.log("takeover complete", "term", m.term, "silent", len(r.unanswered))
+	m.log("takeover complete", "term", m.term, "silent", len(r.holders))
 	for _, j := range m.live {
 		j.inherited = false
 		for _, t := range j.tasks() {
--- a/pkg/sched/flow/recover_test.go
+++ b/pkg/sched/flow/recover_test.go
@@ -68,6 +68,36 @@
 	requireNoViolations(t, e)
 }
 
+// inheritJob kills the leader, submits a job that only the next leader gets to know,
+// and returns the job and a function that begins the next term.
+func inheritJob(e *emul.Emulator) (*emul.Job, func()) {
+	e.Newest().Kill()
+	j := e.Submit(&sched.Workflow{
+		ID: "inherited", Queue: "Q", Steps: []sched.StepSpec{{Count: 1, Resources: sched.Resources{CPU: 2000, Memory: gib}}},
+	}, emul.Work{Duration: time.Second})
+	return j, func() {
+		e.RunFor(1500 * time.Millisecond)
+		e.Lead()
+	}
+}
+
+// Guards against a new leader that waits for workers that no earlier leader can have
+// given orders to, because the durable roster does not name them.
+func TestTakeoverDoesNotWaitForWorkersThatJustJoined(t *testing.T) {
+	e := emul.New(24)
+	e.AddWorkers(8, sched.Resources{CPU: 32000, Memory: 125 * gib})
+	e.AddQueue(sched.Queue{Name: "Q", MaxAttempts: 3})
+	e.Lead()
+	e.RunFor(time.Second)
+	j, lead := inheritJob(e)
+	e.AddWorkers(1, sched.Resources{CPU: 32000, Memory: 125 * gib})
+	e.Workers[8].Crash(time.Minute)
+	lead()
+	e.RunFor(500 * time.Millisecond)
+	require.Equal(t, 1, j.Runs)
+	requireNoViolations(t, e)
+}
+
 // BenchmarkRecover measures what a new leader does for each live task when it
 // loads the stored jobs and their progress.
 func BenchmarkRecover(b *testing.B) {
