Leave workers that drained out of the durable roster

The roster named a worker until 8 s after it had left the register. A leader that began in that time waited for it until the leases had expired, 6.6 s after half of the workers had answered, although the worker had left as planned.

A worker that drains or has left the register, has accepted this term's fencing token and has reported no run and no end that is not acknowledged cannot hold a run of any term, and gets no starts. A worker with a new address is recorded again, too. The answers of workers that are left out do not let a leader continue without the store, because the next leader may not know them.

TestTakeoverDoesNotWaitForWorkersThatLeft failed before: go test ./pkg/sched/flow -run TestTakeoverDoesNotWaitForWorkersThatLeft; runs after 0.5 s: expected 1, actual 0.

--- a/pkg/sched/flow/commit.go
+++ b/pkg/sched/flow/commit.go
@@ -49,16 +49,6 @@
 	sent        time.Time
 }
 
-// roster is the state of the stored list of workers that may have been given
-// orders.
-type roster struct {
-	dirty    bool
-	inFlight bool
-	version  sched.Version
-	// names holds the workers in the roster that was last sent to the store.
-	names map[sched.WorkerName]bool
-}
-
 func (c *commits) init() {
 	c.inFlight = map[uint64]*inFlightCommit{}
 	c.changed = map[*job]bool{}
@@ -144,24 +134,6 @@
 	m.emit(cmd)
 }
 
-// sendRoster records the workers that may be given orders once the record is
-// durable.
-func (m *Machine) sendRoster() {
-	c := &m.commits
-	c.seq++
-	m.roster.dirty, m.roster.inFlight = false, true
-	members := make([]sched.Member, 0, len(m.order))
-	m.roster.names = map[sched.WorkerName]bool{}
-	for _, w := range m.order {
-		members = append(members, w.member)
-		m.roster.names[w.name()] = true
-	}
-	c.inFlight[c.seq] = &inFlightCommit{seq: c.seq, roster: true, sent: m.now}
-	m.emit(CommitCmd{Seq: c.seq, Records: []Record{{
-		Key: KeyRoster, Value: EncodeRoster(members), Version: m.roster.version,
-	}}})
-}
-
 // handleCommitted handles a commit that became durable.
 func (m *Machine) handleCommitted(msg CommittedMsg) {
 	f := m.commits.inFlight[msg.Seq]
@@ -197,16 +169,6 @@
 	m.acknowledgeEnds()
 }
 
-func (m *Machine) rosterDone(v sched.Version) {
-	m.roster.inFlight, m.roster.version = false, v
-	for _, w := range m.order {
-		if m.roster.names[w.name()] {
-			w.rostered = true
-		}
-	}
-	m.stale = true
-}
-
 // oldestChange returns the number of the oldest change that is not durable.
 func (m *Machine) oldestChange() uint64 {
 	oldest := m.commits.lastChange + 1
--- a/pkg/sched/flow/confirmation.go
+++ b/pkg/sched/flow/confirmation.go
@@ -31,7 +31,8 @@
 // workers must have answered this leader recently. A newer leader waits until at
 // least half of the workers have answered it or are gone before it starts tasks
 // that this leader may have started. Workers that have answered the newer leader
-// reject this term.
+// reject this term. The newer leader may not know a worker that the roster leaves
+// out, so the answers of such workers do not count.
 func (m *Machine) allowedToIssueOrders() bool {
 	if !m.unconfirmed() {
 		return true
@@ -42,7 +43,7 @@
 			continue
 		}
 		listed++
-		if w.answered && !w.contactAt.IsZero() && m.now.Sub(w.contactAt) < answerValid {
+		if w.answered && !w.leftOut && !w.contactAt.IsZero() && m.now.Sub(w.contactAt) < answerValid {
 			answered++
 		}
 	}
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -226,6 +226,7 @@
 	m.stopStalled()
 	m.consolidate()
 	m.dropEndedJobs()
+	m.maintainRoster()
 	m.stale = true
 }
 
--- a/pkg/sched/flow/recover_test.go
+++ b/pkg/sched/flow/recover_test.go
@@ -98,6 +98,27 @@
 	requireNoViolations(t, e)
 }
 
+// Guards against a new leader that waits for workers that left as planned before the
+// term began.
+func TestTakeoverDoesNotWaitForWorkersThatLeft(t *testing.T) {
+	e := emul.New(25)
+	e.AddWorkers(8, sched.Resources{CPU: 32000, Memory: 125 * gib})
+	e.AddQueue(sched.Queue{Name: "Q", MaxAttempts: 3})
+	e.Lead()
+	long := sched.StepSpec{Count: 8, AntiAffinity: 1, Resources: sched.Resources{CPU: 2000, Memory: gib}, Perpetual: true}
+	e.Submit(&sched.Workflow{ID: "long", Queue: "Q", Steps: []sched.StepSpec{long}}, emul.Work{})
+	e.RunFor(time.Second)
+	for i, w := range e.Workers[:3] {
+		e.After(time.Duration(i)*300*time.Millisecond, func() { w.Drain(3 * time.Second) })
+	}
+	e.RunFor(4 * time.Second)
+	j, lead := inheritJob(e)
+	lead()
+	e.RunFor(500 * time.Millisecond)
+	require.Equal(t, 1, j.Runs)
+	requireNoViolations(t, e)
+}
+
 // BenchmarkRecover measures what a new leader does for each live task when it
 // loads the stored jobs and their progress.
 func BenchmarkRecover(b *testing.B) {
--- a/pkg/sched/flow/renewal.go
+++ b/pkg/sched/flow/renewal.go
@@ -251,7 +251,7 @@
 	}
 	w.renewal.continuous = true
 	w.acknowledged = max(w.acknowledged, w.renewal.seen)
-	w.renewal.more = len(rep.Ended) >= maxEndsPerReport
+	w.renewal.more, w.reportedRuns = len(rep.Ended) >= maxEndsPerReport, len(rep.Running)
 	first := !w.answered
 	m.applyEnds(w, rep.Ended)
 	m.applyRunReports(w, msg.Sent, rep)
--- a/pkg/sched/flow/single_test.go
+++ b/pkg/sched/flow/single_test.go
@@ -22,16 +22,23 @@
 	stops     []sched.StopOrder
 	// runs holds the runs that were started with start.
 	runs []sched.Run
+	// member is the worker, and running what it reports to renewals that it answers
+	// at once.
+	member  sched.Member
+	running []sched.RunReport
+	// cmds holds all commands. While holdCommits is set, commits are not answered.
+	cmds        []sched.Cmd
+	holdCommits bool
 }
 
 func newLeaderOfOne() *leaderOfOne {
 	l := &leaderOfOne{m: flow.New(1), now: time.Unix(1_700_000_000, 0)}
-	member := sched.Member{Worker: "w", Service: "Pool", Capacity: sched.Resources{CPU: 8000, Memory: gib}, Born: 1}
+	l.member = sched.Member{Worker: "w", Service: "Pool", Capacity: sched.Resources{CPU: 8000, Memory: gib}, Born: 1}
 	l.update(flow.ConfirmedMsg{Asked: l.now})
 	l.update(flow.ConfigMsg{Fleet: &sched.FleetConfig{
 		Revision: 1, Queues: map[sched.QueueName]sched.Queue{"Q": {Name: "Q", Service: "Pool"}},
 	}})
-	l.update(flow.MembersMsg{Members: []sched.Member{member}})
+	l.update(flow.MembersMsg{Members: []sched.Member{l.member}})
 	l.update(flow.TakeoverMsg{})
 	return l
 }
@@ -43,6 +50,7 @@
 	for len(cmds) > 0 {
 		c := cmds[0]
 		cmds = cmds[1:]
+		l.cmds = append(l.cmds, c)
 		switch c := c.(type) {
 		case flow.StartCmd:
 			starts = append(starts, c)
@@ -60,15 +68,32 @@
 			}
 			cmds = append(cmds, l.m.Update(l.now, flow.RenewResultMsg{
 				Result: flow.Result{Worker: "w", Sent: l.now}, Seq: c.Seq,
-				Report: sched.RenewReport{Clock: time.Duration(l.now.UnixNano()), Born: 1},
+				Report: sched.RenewReport{Clock: time.Duration(l.now.UnixNano()), Born: l.member.Born, Running: l.running},
 			})...)
 		case flow.CommitCmd:
+			if l.holdCommits {
+				continue
+			}
 			cmds = append(cmds, l.m.Update(l.now, flow.CommittedMsg{Seq: c.Seq, Version: 1})...)
 		}
 	}
 	return starts, extended
 }
 
+// reborn begins a new incarnation of the worker.
+func (l *leaderOfOne) reborn() { l.member.Born++ }
+
+// heldCommit returns the success of the last commit.
+func (l *leaderOfOne) heldCommit() flow.CommittedMsg {
+	var last flow.CommitCmd
+	for _, c := range l.cmds {
+		if c, ok := c.(flow.CommitCmd); ok {
+			last = c
+		}
+	}
+	return flow.CommittedMsg{Seq: last.Seq, Version: 2}
+}
+
 // report answers the waiting renewal.
 func (l *leaderOfOne) report(r sched.RenewReport) (starts []flow.StartCmd) {
 	r.Clock, r.Born = time.Duration(l.now.UnixNano()), 1
--- a/pkg/sched/flow/worker.go
+++ b/pkg/sched/flow/worker.go
@@ -16,6 +16,9 @@
 	unlistedAt time.Time
 	// rostered means that the durable roster names the worker.
 	rostered bool
+	// leftOut means that the roster that was last sent to the store does not name the
+	// worker.
+	leftOut bool
 	// answered means that the worker has accepted this term's fencing token.
 	// answeredAt is when it first did.
 	answered   bool
@@ -67,8 +70,9 @@
 	processed, durable, acknowledged uint64
 	pending                          []pendingEnd
 
-	// unreadable counts the rows of the last report that could not be read.
-	unreadable int
+	// reportedRuns counts the runs in the last report, and unreadable the rows of it
+	// that could not be read.
+	reportedRuns, unreadable int
 
 	// fullUntil is until when a worker that refused a start for lack of capacity
 	// gets no further start.
@@ -254,6 +258,7 @@
 	}
 	if mb.Addr != w.member.Addr {
 		w.replaced, w.answered = false, false
+		w.rostered, m.roster.dirty = false, true
 	}
 	w.member = mb
 	if w.member.Draining {
@@ -293,7 +298,7 @@
 			m.now.Sub(w.unlistedAt) > 2*m.lease && !m.recovery.waitsFor(w)
 		if gone {
 			delete(m.workers, w.name())
-			m.roster.dirty = true
+			m.roster.dirty = m.roster.dirty || !w.leftOut
 			continue
 		}
 		keep = append(keep, w)
