--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -229,6 +229,7 @@
 	m.stopStalled()
 	m.consolidate()
 	m.dropEndedJobs()
+	m.maintainRoster()
 	m.logRecovery()
 	m.logWaits()
 	m.stale = true
