--- a/pkg/sched/flow/recoverylog.go
+++ b/pkg/sched/flow/recoverylog.go
@@ -49,7 +49,7 @@
 		return
 	}
 	l.loggedAt = m.now
-	m.log("takeover in progress", append([]any{"term", m.term, "unanswered", len(m.recovery.unanswered)}, m.recoveryAttrs()...)...)
+	m.log("takeover in progress", append([]any{"term", m.term, "unanswered", len(m.recovery.holders)}, m.recoveryAttrs()...)...)
 }
 
 // recoveryAttrs returns the attributes that tell how long the recovery has taken,
@@ -62,12 +62,12 @@
 	}
 }
 
-// unansweredNames returns the first of the workers that have not answered yet, with
+// unansweredNames returns the first of the workers that the recovery waits for, with
 // the state in which they are.
 func (m *Machine) unansweredNames() string {
 	var names []string
 	for _, w := range m.order {
-		if !m.recovery.unanswered[w] {
+		if !m.recovery.holders[w] {
 			continue
 		}
 		if len(names) == maxLoggedNames {
