Count draining workers as such in the log of waits

Change: the reason draining comes first. No decision changes.

Result: TestLogsTellWaits passes; the order of the two reasons has no test of its own.

--- a/pkg/sched/flow/waits.go
+++ b/pkg/sched/flow/waits.go
@@ -92,11 +92,11 @@
 const (
 	suitable unsuitable = iota
 	unlisted
+	draining
 	unrostered
 	unanswered
 	suspected
 	slow
-	draining
 	full
 	otherService
 	noLabel
@@ -111,7 +111,7 @@
 // unsuitableNames are the names of the counts in a log line. excluded stands for
 // interference, a missed target, or a rack without the data of the task.
 var unsuitableNames = [unsuitableReasons]string{
-	"suitable", "unlisted", "unrostered", "unanswered", "suspected", "slow", "draining", "full", "otherService",
+	"suitable", "unlisted", "draining", "unrostered", "unanswered", "suspected", "slow", "full", "otherService",
 	"noLabel", "tooMany", "noTicket", "noCapacity", "reserved", "excluded",
 }
 
@@ -129,6 +129,8 @@
 	switch {
 	case !w.listed:
 		return unlisted
+	case w.member.Draining:
+		return draining
 	case !w.rostered:
 		return unrostered
 	case !w.answered || !w.hasClock || w.replaced:
@@ -137,8 +139,6 @@
 		return suspected
 	case w.slow:
 		return slow
-	case w.member.Draining:
-		return draining
 	case !m.usable(w):
 		return full
 	case w.member.Service != q.Service:
