Do not move a running task that would then wait for the reserve

Cause: the worker for a move is chosen as if the task had waited for long, and may then use the reserve for short tasks. Once the task is stopped its wait begins anew, so it has to leave the reserve for 1.5 s, and short tasks take the capacity.

Change: a task is moved only if its start would leave the reserve untouched.

--- a/pkg/sched/flow/consolidate.go
+++ b/pkg/sched/flow/consolidate.go
@@ -119,6 +119,9 @@
 	if !t.step.mayLose(t) || t.step.spec.Gang || !r.ready() || ran < minConsolidationAge || ran > maxConsolidationAge {
 		return nil
 	}
+	if m.usesReserve(r.need.CPU) {
+		return nil // The task would wait for capacity after its stop.
+	}
 	to := m.chooseWorker(t, m.fleet.Queues[t.job().queue])
 	if to == nil || to == r.worker {
 		return nil
--- a/pkg/sched/flow/waits_test.go
+++ b/pkg/sched/flow/waits_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/mangoslip/mangoslip/internal/emul"
 	"github.com/mangoslip/mangoslip/pkg/sched"
+	"github.com/mangoslip/mangoslip/pkg/sched/flow"
 )
 
 // Guards against a log that does not tell which wait of a new leader took the time.
@@ -71,19 +72,23 @@
 func requireEvent(t *testing.T, l *emul.Leader, event string) map[string]any {
 	t.Helper()
 	for _, c := range slices.Backward(l.Events) {
-		if c.Event != event {
-			continue
-		}
-		out := map[string]any{}
-		for i := 0; i < len(c.Attrs); i += 2 {
-			out[c.Attrs[i].(string)] = c.Attrs[i+1]
+		if c.Event == event {
+			return attrsOf(c)
 		}
-		return out
 	}
 	require.Fail(t, "event is not logged", event)
 	return nil
 }
 
+// attrsOf returns the attributes of a line by their keys.
+func attrsOf(c flow.LogCmd) map[string]any {
+	out := map[string]any{}
+	for i := 0; i < len(c.Attrs); i += 2 {
+		out[c.Attrs[i].(string)] = c.Attrs[i+1]
+	}
+	return out
+}
+
 func count(l *emul.Leader, event string) (n int) {
 	for _, c := range l.Events {
 		if c.Event == event {
