Record the end of a failing perpetual task at most every 3 s

What users saw: nothing; found while reading again.

A task that fails again and again caused a write for each of its runs.

Change: an end is not recorded if one of the same task was recorded less than 3 s before. The next leader then counts the wait from an end that is at most 3 s older.

--- a/pkg/sched/flow/away.go
+++ b/pkg/sched/flow/away.go
@@ -8,12 +8,18 @@
 const maxAway = 3 * time.Second
 
 // noteAway records that a run of a perpetual task has ended. The time is durable, so
-// that the wait does not begin again with each leader.
+// that the wait does not begin again with each leader. It is not recorded again within
+// maxAway, because a task may fail again and again.
 func (m *Machine) noteAway(t *task) {
 	if !t.step.spec.Perpetual || t.job().state.Final() {
 		return
 	}
-	t.awaySince, t.awayMillis = m.now, m.wallMillis(m.now)
+	t.awaySince = m.now
+	millis := m.wallMillis(m.now)
+	if age := time.Duration(millis-t.awayMillis) * time.Millisecond; age.Abs() < maxAway {
+		return
+	}
+	t.awayMillis = millis
 	m.markChanged(t.job())
 }
 
--- a/pkg/sched/flow/away_test.go
+++ b/pkg/sched/flow/away_test.go
@@ -1,6 +1,7 @@
 package flow_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/mangoslip/mangoslip/internal/emul"
 	"github.com/mangoslip/mangoslip/pkg/sched"
+	"github.com/mangoslip/mangoslip/pkg/sched/flow"
 )
 
 // maxGap is how long a perpetual task may be without a run while capacity becomes free
@@ -90,3 +92,33 @@
 		require.Zero(t, running(e, "new"), "nor under the next leader")
 	})
 }
+
+// Guards against a write to the store for each end of a perpetual task that fails again
+// and again.
+func TestFailingPerpetualTaskIsRarelyRecorded(t *testing.T) {
+	const failures = 30
+	l := newLeaderOfOne()
+	l.start(t, sched.StepSpec{Count: 1, Resources: sched.Resources{CPU: 1000}, Perpetual: true, Image: "job"})
+	l.update(sched.TickMsg{})
+	began, run := l.now, l.runs[0]
+	for i := range failures {
+		l.now = l.now.Add(300 * time.Millisecond)
+		l.update(flow.ConfirmedMsg{Asked: l.now})
+		starts := l.report(sched.RenewReport{Ended: []sched.RunEnd{{Seq: uint64(i + 1), Run: run, How: sched.EndFailed}}})
+		for len(starts) == 0 {
+			l.now = l.now.Add(50 * time.Millisecond)
+			starts, _ = l.update(sched.TickMsg{})
+		}
+		run = starts[0].Order.Run
+		l.update(flow.StartResultMsg{Result: flow.Result{Worker: "w", Sent: l.now}, Run: run, Reply: sched.OrderReply{HasClock: true}})
+		l.update(sched.TickMsg{})
+	}
+	commits := 0
+	for _, c := range l.cmds {
+		if c, ok := c.(flow.CommitCmd); ok && strings.HasPrefix(c.Records[0].Key, flow.KeyProgress) {
+			commits++
+		}
+	}
+	require.Positive(t, commits)
+	require.LessOrEqual(t, commits, int(l.now.Sub(began)/(maxGap/2))+2)
+}
--- a/pkg/sched/flow/job.go
+++ b/pkg/sched/flow/job.go
@@ -112,7 +112,7 @@
 	// queuedAt is when the task last began to wait for a worker.
 	queuedAt time.Time
 	// awaySince is when the last known run of a perpetual task ended, zero if none has.
-	// awayMillis is the same as Unix time in milliseconds.
+	// awayMillis is the recorded time, as Unix time in milliseconds.
 	awaySince  time.Time
 	awayMillis int64
 	// mayBeRunning means that an earlier leader may have started the task on a
