Trust a worker's report of its incarnation over the register

Cause: the register may show an incarnation that the worker has never had, since others can write under its key. The leader then took every report of the worker for a delayed one of an earlier incarnation: it ignored all of them, asked again without a pause, and never used the worker again, also after the worker had written its own registration again.

A report that was asked for after the register showed a later incarnation, and that names the earlier one, proves the register wrong, because the later one would have ended the other before. The leader then goes on with the reported incarnation and ignores registrations with the refuted one. A later registration replaces an earlier one as long as the worker itself has reported neither. After a delayed report the next renewal waits for renewRetry.

TestRegisterShowsEarlierIncarnation shows that a restarted worker is still told from its earlier incarnation.

--- a/pkg/sched/flow/renewal.go
+++ b/pkg/sched/flow/renewal.go
@@ -235,15 +235,12 @@
 // applyReport applies a worker's report of its runs and run ends.
 func (m *Machine) applyReport(w *worker, msg RenewResultMsg) {
 	rep := &msg.Report
-	if rep.Born < w.member.Born {
-		m.maintainWorker(w) // A delayed answer of an earlier incarnation.
+	if !m.confirmIncarnation(w, rep.Born) {
+		w.renewal.notBefore = m.now.Add(renewRetry)
 		return
 	}
 	wasSuspected := w.suspected
 	m.noteAnswerTime(w, m.now.Sub(msg.Sent))
-	if rep.Born > w.member.Born {
-		m.newIncarnation(w, rep.Born, "report")
-	}
 	w.recordClock(msg.Sent, m.now, rep.Clock)
 	if wasSuspected {
 		m.log("worker answers again", "worker", w.name(), "runs", len(w.runs))
--- a/pkg/sched/flow/worker.go
+++ b/pkg/sched/flow/worker.go
@@ -22,6 +22,8 @@
 	answeredAt time.Time
 	// replaced means that another incarnation answered at the worker's address.
 	replaced bool
+	// claim is what is known about the truth of member.Born.
+	claim incarnationClaim
 
 	runs map[sched.Run]*run
 	// list holds the runs in the order in which they were added. Iterating over it
@@ -240,14 +242,13 @@
 		m.log("worker joined", "worker", mb.Worker, "service", mb.Service, "addr", mb.Addr,
 			"dataCentre", mb.DataCentre, "capacity", mb.Capacity, "labels", mb.Labels, "draining", mb.Draining)
 	}
-	if mb.Born < w.member.Born {
-		return // The register's entry is out of date.
+	if w.contradicts(mb.Born) {
+		return // The register's entry is out of date, or the worker has not written it.
 	}
-	if !w.listed {
-		w.listed = true
-	}
-	if mb.Born > w.member.Born {
+	w.listed = true
+	if mb.Born != w.member.Born {
 		m.newIncarnation(w, mb.Born, "register")
+		w.claimed()
 	}
 	if mb.Draining != w.member.Draining {
 		m.log("worker draining", "worker", mb.Worker, "draining", mb.Draining, "left", mb.DrainLeft, "runs", len(w.runs))
@@ -270,20 +271,6 @@
 	return w
 }
 
-// newIncarnation handles a worker that restarted under its name, which resets
-// its sequence numbers. The runs of the previous incarnation have ended. Runs
-// of the new one may have been started before the restart was noticed, so the
-// next report decides which runs remain.
-func (m *Machine) newIncarnation(w *worker, incarnation int64, source string) {
-	m.log("worker has a new incarnation", "worker", w.name(), "born", incarnation, "before", w.member.Born, "source", source,
-		"runs", len(w.runs))
-	w.member.Born = incarnation
-	w.processed, w.durable, w.acknowledged, w.pending = 0, 0, 0, nil
-	w.hasClock, w.clock, w.answered, w.replaced, w.slow = false, 0, false, false, false
-	w.renewal.continuous = false
-	w.quarantine = quarantine{}
-}
-
 // dropWorkers removes workers that left the register, run nothing and have no
 // end to acknowledge.
 func (m *Machine) dropWorkers() {
