Decode the instance list row by row

Cause: the client of the instance list decoded the whole answer at once. One row with a number too large, a port out of range, a field of another type, or a list nested more than 10,000 levels deep made every read fail: the entry stopped following the list, its confirmation of ownership expired, and it served nothing while the row was there. A row without a name or with an unknown role became a worker.

Change: internal/fleet/decode.go splits the list into its rows without a limit on nesting and decodes each row by itself. A row that cannot be decoded, or that no instance can have, is left out and logged once with its name and a short error, for 100 names at most. A list that is cut off is an error as before. The bounds of a worker's resources move to pkg/sched, for both registers.

--- a/cmd/mangoslip/entry.go
+++ b/cmd/mangoslip/entry.go
@@ -91,7 +91,7 @@
 
 func (c *entryCmd) run(ctx context.Context) error {
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: c.level})).With("entry", c.name)
-	list := fleet.New(c.listAddr)
+	list := fleet.New(c.listAddr, fleet.WithLogger(log))
 	kv := store.New(c.storeAddr, store.WithBudget(c.writes, c.reads))
 	e, err := entry.New(entry.Settings{
 		Name: sched.EntryName(c.name), DataCentre: sched.DataCentre(c.dataCentre),
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,6 +13,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"log/slog"
 	"net/http"
 	"net/netip"
 	"time"
@@ -26,11 +28,17 @@
 // another read after a lost response.
 const defaultTimeout = 500 * time.Millisecond
 
+// maxAnswerBytes bounds an answer. A list of thousands of instances takes a few
+// megabytes.
+const maxAnswerBytes = 32 << 20
+
 // Client is a client of the instance list. It is safe for concurrent use.
 type Client struct {
 	addr    netip.AddrPort
 	wire    *wire.Transport
 	timeout time.Duration
+	log     *slog.Logger
+	invalid invalidNames
 }
 
 var _ sched.InstanceList = (*Client)(nil)
@@ -41,9 +49,12 @@
 // WithTimeout sets the maximum duration of a call.
 func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
 
+// WithLogger sets the logger; the default discards.
+func WithLogger(l *slog.Logger) Option { return func(c *Client) { c.log = l } }
+
 // New returns a client of the list at addr.
 func New(addr netip.AddrPort, opts ...Option) *Client {
-	c := &Client{addr: addr, wire: wire.New(), timeout: defaultTimeout}
+	c := &Client{addr: addr, wire: wire.New(), timeout: defaultTimeout, log: slog.New(slog.DiscardHandler)}
 	for _, o := range opts {
 		o(c)
 	}
@@ -56,7 +67,10 @@
 // Instances implements [sched.InstanceList].
 func (c *Client) Instances(ctx context.Context) ([]sched.Instance, error) {
 	var list []sched.Instance
-	err := c.call(ctx, http.MethodGet, "/instances", nil, &list)
+	err := c.call(ctx, http.MethodGet, "/instances", nil, func(body []byte) (err error) {
+		list, err = c.decodeList(body)
+		return err
+	})
 	return list, sched.Wrap(err, "read instance list", c.addr.String())
 }
 
@@ -69,11 +83,11 @@
 		return 0, sched.Wrap(err, "register instance", in.Name)
 	}
 	var listed sched.Instance
-	err = c.call(ctx, http.MethodPost, "/fake/register", body, &listed)
+	err = c.call(ctx, http.MethodPost, "/fake/register", body, func(answer []byte) error { return json.Unmarshal(answer, &listed) })
 	return listed.Generation, sched.Wrap(err, "register instance", c.addr.String())
 }
 
-func (c *Client) call(ctx context.Context, method, path string, body []byte, into any) error {
+func (c *Client) call(ctx context.Context, method, path string, body []byte, decode func([]byte) error) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.addr.String()+path, bytes.NewReader(body))
@@ -92,7 +106,11 @@
 	default:
 		return fmt.Errorf("%w: status %d", sched.ErrRefused, resp.StatusCode)
 	}
-	if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err == nil {
+		err = decode(answer)
+	}
+	if err != nil {
 		return fmt.Errorf("%w: %w", sched.ErrLost, err)
 	}
 	return nil
--- a/pkg/sched/resource.go
+++ b/pkg/sched/resource.go
@@ -16,6 +16,19 @@
 	Accelerators int
 }
 
+// MaxCPU, MaxMemory and MaxAccelerators bound what one worker can have. The resources
+// of thousands of workers can be added up without an overflow.
+const (
+	MaxCPU          MilliCPU = 1 << 32
+	MaxMemory       Bytes    = 1 << 52
+	MaxAccelerators          = 1 << 16
+)
+
+// Possible reports whether a worker can have these resources.
+func (r Resources) Possible() bool {
+	return !r.Negative() && r.Fits(Resources{MaxCPU, MaxMemory, MaxAccelerators})
+}
+
 // Add returns r + o.
 func (r Resources) Add(o Resources) Resources {
 	return Resources{r.CPU + o.CPU, r.Memory + o.Memory, r.Accelerators + o.Accelerators}
