Take no worker from a damaged roster

Cause: DecodeRoster returned what it had decoded before the damage together with the error. The new leader logged the error and took the part for the whole, so since its recovery would not have waited for the other workers. Change: a damaged roster names no worker, and the recovery waits for all. Result: TestDamagedRosterNamesNoWorker failed before (two members) and passes.

--- a/pkg/sched/flow/codec.go
+++ b/pkg/sched/flow/codec.go
@@ -148,11 +148,14 @@
 	return b
 }
 
-// DecodeRoster returns the workers of a stored roster.
+// DecodeRoster returns the workers of a stored roster. Of a damaged roster it returns
+// none, since a part of the workers would be taken for all.
 func DecodeRoster(b []byte) ([]sched.Member, error) {
 	var out []sched.Member
-	err := cbor.Unmarshal(b, &out)
-	return out, err
+	if err := cbor.Unmarshal(b, &out); err != nil {
+		return nil, err
+	}
+	return out, nil
 }
 
 // taskName returns a task's full name for logs, "job.occurrence.step.index".
--- a/pkg/sched/flow/roster_test.go
+++ b/pkg/sched/flow/roster_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/mangoslip/mangoslip/pkg/sched"
@@ -135,3 +136,12 @@
 	}
 	return out
 }
+
+// Guards against a takeover that waits only for the workers before the damage.
+func TestDamagedRosterNamesNoWorker(t *testing.T) {
+	b, err := cbor.Marshal([]any{sched.Member{Worker: "a"}, "b"})
+	require.NoError(t, err)
+	members, err := flow.DecodeRoster(b)
+	require.Error(t, err)
+	require.Empty(t, members)
+}
