Do not campaign once another entry leads or the entry stops

Cause: an entry decided to campaign when the leader's key was gone, waited for its delay (2 s for a weak entry) and campaigned whatever had happened meanwhile. On a deployment of 41 entries, 35 of them failed with a version conflict 2 s after each change of the leader, one write each. An entry whose planned stop began during that delay could begin a term and left the deployment without a leader until its lease expired.

The delay ends without a campaign when the entry learns of a newer term than the one it read, from another entry or the store, and when it has resigned. Only what is learned during the delay counts, so a wrong report cannot keep an entry from campaigning.

Failed before, with go test ./internal/leader: TestEntriesThatKnowTheNextLeaderDoNotCampaign (each of the ten weak entries campaigned) and TestStoppingEntryDoesNotCampaign.

--- a/internal/leader/elect.go
+++ b/internal/leader/elect.go
@@ -13,6 +13,14 @@
 // lastTerm is the zero item if there has been no term yet.
 type campaignInput struct{ lastTerm sched.Item }
 
+// term decodes the last term. It returns the zero term if there has been none yet.
+func (in campaignInput) term() (last layout.Term, err error) {
+	if in.lastTerm.Version != 0 {
+		err = layout.Decode(in.lastTerm.Value, &last)
+	}
+	return last, sched.Wrap(err, "decode term", layout.TermKey)
+}
+
 // follow waits until no entry leads. It also reports whether the store was
 // unreachable just before.
 func (l *Leader) follow(ctx context.Context) (campaignInput, bool) {
@@ -84,11 +92,9 @@
 
 // campaign tries to begin the next term with this entry as the leader.
 func (l *Leader) campaign(ctx context.Context, in campaignInput) (*term, error) {
-	var last layout.Term
-	if in.lastTerm.Version != 0 {
-		if err := layout.Decode(in.lastTerm.Value, &last); err != nil {
-			return nil, sched.Wrap(err, "decode term", layout.TermKey)
-		}
+	last, err := in.term()
+	if err != nil {
+		return nil, err
 	}
 	lease, ttl, err := l.store.Grant(ctx, l.ttl)
 	if err != nil {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -19,7 +19,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -64,15 +63,6 @@
 	retryPause    = 150 * time.Millisecond
 	retryMaxPause = 700 * time.Millisecond
 	retryJitter   = 0.3
-	// campaignJitter bounds the random delay before a campaign.
-	campaignJitter = 40 * time.Millisecond
-	// lowCPUDelay is the additional delay before a campaign of an entry with
-	// less than lowCPUShare of a core.
-	lowCPUDelay = 120 * time.Millisecond
-	lowCPUShare = 0.3
-	// outageGrace is the additional delay before a campaign after an outage of
-	// the store, so that the previous leader can write the leader's key again.
-	outageGrace = 600 * time.Millisecond
 	// orderTimeout is the timeout of an order while answers are quick. The state
 	// machine sets that of a worker's lease renewal.
 	orderTimeout = 300 * time.Millisecond
@@ -116,6 +106,10 @@
 	askPeers  AskPeers
 	now       func() time.Time
 
+	// leaderLearned holds a value if a newer leader was learned of since it was last
+	// emptied.
+	leaderLearned chan struct{}
+
 	mu          sync.Mutex
 	knownLeader layout.Leader
 	fleet       *sched.FleetConfig
@@ -181,6 +175,7 @@
 		stats: stats.New(), ttl: defaultTTL, announce: func(layout.Leader) {},
 		reachable: func(context.Context, layout.Entry) bool { return false },
 		askPeers:  func(context.Context, func(time.Duration)) bool { return true }, now: clock.Now,
+		leaderLearned: make(chan struct{}, 1),
 	}
 	for _, o := range opts {
 		o(l)
@@ -196,10 +191,9 @@
 			pause(ctx, retryPause)
 			continue
 		}
-		if outage {
-			pause(ctx, outageGrace)
+		if !l.awaitTurn(ctx, input, outage) {
+			continue
 		}
-		pause(ctx, l.campaignDelay(ctx))
 		t, err := l.campaign(ctx, input)
 		if err != nil {
 			l.log.Info("campaign failed", "peer", l.Name, "error", err)
@@ -211,20 +205,6 @@
 	return nil
 }
 
-// campaignDelay returns the delay before a campaign. It is random, so that
-// entries do not all campaign at once, and shorter for entries with more
-// processor time, so that they campaign first.
-func (l *Leader) campaignDelay(ctx context.Context) time.Duration {
-	d := rand.N(campaignJitter)
-	switch {
-	case len(l.strongerEntries(ctx)) > 0:
-		d += weakDelay
-	case l.Processors < lowCPUShare:
-		d += lowCPUDelay
-	}
-	return d
-}
-
 // Current returns the newest leader that this entry knows of.
 func (l *Leader) Current() layout.Leader {
 	l.mu.Lock()
@@ -235,16 +215,10 @@
 // ObserveLeader records the leader that another entry knows of. A newer term
 // ends the term of this entry.
 func (l *Leader) ObserveLeader(v layout.Leader) {
+	l.setKnownLeader(v, "peer")
 	l.mu.Lock()
-	newer := v.Term > l.knownLeader.Term
-	if newer {
-		l.knownLeader = v
-	}
 	t := l.term
 	l.mu.Unlock()
-	if newer {
-		l.log.Info("leader known", "leader", v.Name, "term", v.Term, "source", "peer")
-	}
 	if t != nil && v.Term > t.number {
 		t.end("a peer reported a newer leader")
 	}
@@ -342,6 +316,10 @@
 	l.mu.Unlock()
 	if changed {
 		l.log.Info("leader known", "leader", v.Name, "term", v.Term, "source", source)
+		select {
+		case l.leaderLearned <- struct{}{}:
+		default:
+		}
 	}
 }
 
