Let the entries that started last campaign first

Cause: of the entries with enough processor time any could become the next leader. In a planned restart of all entries, one after the other, it was often one that was restarted next, so the leader changed again and again, and each change costs a takeover.

Change: internal/leader/turn.go. An entry waits 60 ms for each entry with enough processor time that registered later, 120 ms at most; the last leader does not count. The order is that of the versions of the entries' keys in the store, which each entry writes when it starts. So neither the clocks of machines nor a new field are needed, and older builds take part. An entry without a configuration lets two others go first. The delay of the first entry is as before (up to 40 ms); entries that are gone delay the next one by 120 ms at most.

Failed before: all four cases of TestRestartedEntryLeadsNext (go test ./internal/leader): entries that were still to be restarted led next. TestEntriesThatAreGoneDelayNoCampaign guards the bound on the delay.

--- a/internal/leader/transfer.go
+++ b/internal/leader/transfer.go
@@ -15,10 +15,6 @@
 	// weakShare is the share of the processor time of the strongest entry below
 	// which an entry counts as weak.
 	weakShare = 0.5
-	// weakDelay is the additional delay before a campaign of a weak entry. After
-	// an outage of the store the other entries need up to 1.5 s to campaign, and
-	// they should do so first.
-	weakDelay = 2 * time.Second
 	// transferAfter is how long a weak entry leads before it transfers
 	// leadership, and transferCheckInterval is the interval at which it looks
 	// for a stronger entry.
@@ -29,20 +25,10 @@
 // strongerEntries returns the entries compared with which this one is weak. The
 // list may be some seconds old. It is empty if the store cannot be read.
 func (l *Leader) strongerEntries(ctx context.Context) []layout.Entry {
-	items, _, err := l.store.Range(ctx, layout.EntryPrefix, true)
-	if err != nil {
-		l.log.Info("entries could not be read", "step", "look for stronger entries", "error", err)
-		return nil
-	}
 	var out []layout.Entry
-	for _, i := range items {
-		var e layout.Entry
-		if err := layout.Decode(i.Value, &e); err != nil {
-			l.log.Warn("entry's key is damaged", "key", i.Key, "error", err)
-			continue
-		}
+	for _, e := range l.entries(ctx, "look for stronger entries") {
 		if e.Name != l.Name && l.Processors < weakShare*e.Processors {
-			out = append(out, e)
+			out = append(out, e.Entry)
 		}
 	}
 	return out
