Bound the log lines about invalid items in the register

Cause: a leader logged each key of an invalid item once and remembered it for the term. Others can write any number of such items, under new keys. Change: at most 100 keys are logged in a term, and one line says that more are not (internal/leader/invalid.go). Failed before: TestInvalidMembersAreLoggedOnce, go test ./internal/leader (1,000 lines instead of 101). The workers beside the items get their tasks, as before.

--- /dev/null
+++ b/internal/leader/invalid.go
@@ -0,0 +1,21 @@
+package leader
+
+// maxLoggedInvalid bounds the keys that a term logs as invalid, since others can write
+// any number of them.
+const maxLoggedInvalid = 100
+
+// logInvalid logs the keys of invalid items in the register of workers, each once. It
+// is called with t.mu locked.
+func (t *term) logInvalid(invalid map[string]error) {
+	for key, err := range invalid {
+		if t.loggedInvalid[key] || len(t.loggedInvalid) > maxLoggedInvalid {
+			continue
+		}
+		t.loggedInvalid[key] = true
+		if len(t.loggedInvalid) > maxLoggedInvalid {
+			t.l.log.Warn("further invalid items in the register of workers are not logged", "term", t.number, "invalid", len(invalid))
+			return
+		}
+		t.l.log.Warn("item in the register of workers is invalid", "key", key, "error", err)
+	}
+}
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/netip"
@@ -311,14 +312,19 @@
 		panic("broken decoder")
 	}
 	var out []sched.Member
+	invalid := map[string]error{}
 	for _, i := range items {
+		if strings.HasPrefix(i.Key, membersPrefix+"odd") {
+			invalid[i.Key] = errors.New("no worker")
+			continue
+		}
 		out = append(out, sched.Member{
 			Worker: sched.WorkerName(strings.TrimPrefix(i.Key, membersPrefix)), Service: "S",
 			Addr: netip.MustParseAddrPort("127.0.0.1:1"), Born: 1,
 			Capacity: sched.Resources{CPU: 32000, Memory: 64 << 30},
 		})
 	}
-	return out, nil
+	return out, invalid
 }
 
 // stopAll stops all entries.
@@ -590,6 +596,22 @@
 	})
 }
 
+// Guards against invalid items in the register that hide the workers, or that are logged
+// at each read.
+func TestInvalidMembersAreLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, time.Second)
+		defer c.stopAll()
+		for i := range 1000 {
+			c.store.Put(fmt.Sprintf("%sodd%d", membersPrefix, i), nil)
+		}
+		time.Sleep(10 * time.Second)
+		require.Equal(t, 101, strings.Count(c.log.String(), "register of workers"))
+		c.submit("1")
+		c.requireDone("1", 5*time.Second)
+	})
+}
+
 // Guards against a graceful shutdown after which the deployment has no leader
 // until the lease expires.
 func TestResign(t *testing.T) {
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -189,14 +189,7 @@
 func (t *term) postMembers(r reading) {
 	members, invalid := t.l.DecodeMembers(r.items)
 	t.mu.Lock()
-	for key, err := range invalid {
-		if !t.loggedInvalid[key] {
-			t.loggedInvalid[key] = true
-			t.l.log.Warn("item in the register of workers is invalid", "key", key, "error", err)
-		}
-	}
-	t.mu.Unlock()
-	t.mu.Lock()
+	t.logInvalid(invalid)
 	t.registerReadAt = r.asked
 	t.mu.Unlock()
 	t.post(flow.MembersMsg{Members: members, Asked: r.asked})
