Ask no member of the register whose service is not configured

Cause: an entry of the register with a service that the configuration does not name became a worker: the leader asked it four times a second, recorded it in the roster, and each takeover waited for its answer until the leases of earlier leaders had expired, 6.6 s after half of the workers had answered. Another writer may have left such an entry, and the users' pages say that it names no worker to use.

A member that is not in use yet is left out while the configuration names its service neither as a pool nor as that of a queue. Workers in use and those of the roster are kept when their service is removed, since they may run tasks. One log line says how many members are left out when that number changes.

Failed before: TestMemberOfUnknownServiceIsNotUsed, go test ./pkg/sched/flow (the takeover asked the member). TestRosterOfUnknownServiceIsAsked shows that workers of a removed service are still asked after a takeover. Race tests of flow, emul, leader and platform/fleet pass.

--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -70,6 +70,9 @@
 	// added.
 	workers map[sched.WorkerName]*worker
 	order   []*worker
+	// unknownService is how many members the register last showed whose service the
+	// configuration does not name.
+	unknownService int
 
 	commits        commits
 	roster         roster
--- a/pkg/sched/flow/worker.go
+++ b/pkg/sched/flow/worker.go
@@ -221,7 +221,7 @@
 // setMembers applies the content of the register of workers.
 func (m *Machine) setMembers(members []sched.Member) {
 	seen := map[sched.WorkerName]bool{}
-	for _, mb := range members {
+	for _, mb := range m.withKnownService(members) {
 		seen[mb.Worker] = true
 		m.setMember(mb)
 	}
