--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -596,6 +596,22 @@
 	})
 }
 
+// Guards against a job that starts over, although it may have ended, because the store's
+// answer with its progress could not be read.
+func TestJobWithoutReadableProgressIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 0, time.Second)
+		defer c.stopAll()
+		c.submit("1")
+		c.store.Put(layout.Root+flow.KeyProgress+"1", nil)
+		c.submit("2")
+		c.addEntry("a")
+		c.requireDone("2", 5*time.Second)
+		require.Len(t, c.workers.starts, 3, "the tasks of the other job")
+		require.Contains(t, c.log.String(), "the progress could not be read")
+	})
+}
+
 // Guards against invalid items in the register that hide the workers, or that are logged
 // at each read.
 func TestInvalidMembersAreLoggedOnce(t *testing.T) {
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -114,12 +114,15 @@
 	if err == nil && t.l.isSuspectJob(id) {
 		err = errSuspectJob
 	}
+	p, ok := progress[layout.Root+flow.KeyProgress+string(id)]
+	if ok && len(p.Value) == 0 {
+		err = errNoProgress
+	}
 	if err != nil {
 		t.l.stats.Count("DamagedRecords", 1)
 		t.l.log.Error("stored job is not run", "id", id, "version", c.Version, "error", err)
 		return
 	}
-	p := progress[layout.Root+flow.KeyProgress+string(id)]
 	t.post(flow.JobMsg{
 		Job: job.Workflow, Accepted: job.Accepted, Inherited: c.Version < t.version,
 		Progress: p.Value, Version: p.Version,
@@ -138,6 +141,7 @@
 
 var (
 	errOtherJob   = errors.New("the record is that of another job")
+	errNoProgress = errors.New("the progress could not be read, so the job may have ended")
 	errSuspectJob = errors.New("the state machine panicked repeatedly when it got the job")
 )
 
