--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -112,12 +112,15 @@
 	if err == nil && t.l.isSuspectJob(id) {
 		err = errSuspectJob
 	}
+	p, ok := progress[layout.Root+flow.KeyProgress+string(id)]
+	if ok && len(p.Value) == 0 {
+		err = errNoProgress
+	}
 	if err != nil {
 		t.l.stats.Count("DamagedRecords", 1)
 		t.l.log.Error("stored job is not run", "id", id, "version", c.Version, "error", err)
 		return
 	}
-	p := progress[layout.Root+flow.KeyProgress+string(id)]
 	t.post(flow.JobMsg{
 		Job: job.Workflow, Accepted: job.Accepted, Inherited: c.Version < t.version,
 		Progress: p.Value, Version: p.Version,
@@ -136,6 +139,7 @@
 
 var (
 	errOtherJob   = errors.New("the record is that of another job")
+	errNoProgress = errors.New("the progress could not be read, so the job may have ended")
 	errSuspectJob = errors.New("the state machine panicked repeatedly when it got the job")
 )
 
@@ -187,12 +191,7 @@
 func (t *term) postMembers(r reading) {
 	members, invalid := t.l.DecodeMembers(r.items)
 	t.mu.Lock()
-	for key, err := range invalid {
-		if !t.loggedInvalid[key] {
-			t.loggedInvalid[key] = true
-			t.l.log.Warn("item in the register of workers is invalid", "key", key, "error", err)
-		}
-	}
+	t.logInvalid(invalid)
 	t.mu.Unlock()
 	t.contact.registerRead(r.asked)
 	t.post(flow.MembersMsg{Members: members, Asked: r.asked})
