Hand over what a leader that resigns knows of runs

A leader that resigned passed nothing on. The next one asked every worker again and started no inherited task until all had answered or the leases had expired, 6.6 s after half of them had.

A leader that resigns now issues no more orders, waits until the changes of jobs are durable (new ones do not arrive any more, so this is short; 0.4 s at most, as before), and writes the record Mangoslip/Handover in the transaction that removes its key, on the condition that the term is unchanged. It names the tasks that may be running with their workers, and how long the leases there last. The next leader starts all other tasks at once, and a named one when its worker has answered or the leases have expired.

--- a/internal/emul/emul.go
+++ b/internal/emul/emul.go
@@ -49,6 +49,7 @@
 	leaders     []*Leader
 	store       store
 	longestMiss time.Duration
+	waits       waits
 	// storeDownChanged is when the store last failed or recovered.
 	storeDownChanged time.Time
 	// startsExcusedUntil is until when late starts of cancelled jobs are excused.
--- a/internal/emul/store.go
+++ b/internal/emul/store.go
@@ -115,6 +115,8 @@
 	storeCut    bool
 	watchSilent bool
 	cut         map[*Worker]bool
+	// resigned is called once the leader has resigned.
+	resigned func()
 	// LostReason is the reason why the machine gave up leadership. It is empty
 	// while the machine leads.
 	LostReason string
@@ -161,7 +163,9 @@
 		}
 	}
 	l.post(flow.WorkReadMsg{Asked: e.now})
-	takeover := flow.TakeoverMsg{Version: s.items[flow.KeyRoster].Version}
+	takeover := flow.TakeoverMsg{
+		Version: s.items[flow.KeyRoster].Version, Handover: s.items[flow.KeyHandover].Value, Began: e.now,
+	}
 	if b := s.items[flow.KeyRoster].Value; b != nil {
 		takeover.Roster, _ = flow.DecodeRoster(b)
 	}
@@ -190,10 +194,10 @@
 }
 
 // HasLeader reports whether the leader of the newest term is running and has
-// not given up leadership.
+// neither resigned nor given up leadership.
 func (e *Emulator) HasLeader() bool {
 	for _, l := range e.leaders {
-		if l.term == e.store.term && !l.dead && l.LostReason == "" {
+		if l.term == e.store.term && !l.dead && l.resigned == nil && l.LostReason == "" {
 			return true
 		}
 	}
@@ -211,6 +215,46 @@
 	})
 }
 
+// Resign ends the leader's term voluntarily. It calls then once the next leader may
+// begin its term. The machine goes on and gets further messages.
+func (l *Leader) Resign(then func()) {
+	if l.dead || l.LostReason != "" || l.resigned != nil {
+		return
+	}
+	l.resigned = then
+	l.post(flow.ResignMsg{})
+}
+
+// checkOrder checks an order that starts a run or extends leases. A leader that has
+// resigned must not issue any.
+func (l *Leader) checkOrder(grants bool) {
+	if grants && l.resigned != nil {
+		l.e.violate("the leader of term %d issues an order after it resigned", l.term)
+	}
+}
+
+// handOver writes what the leader knows of runs, with the emulated delays and losses.
+func (l *Leader) handOver(cmd flow.HandoverCmd) {
+	e := l.e
+	write := func() {
+		if cmd.Value != nil && l.term == e.store.term {
+			e.store.items[flow.KeyHandover] = sched.Item{Key: flow.KeyHandover, Value: cmd.Value, Version: e.store.nextVersion()}
+		}
+	}
+	lost := e.Rand.Float64() < e.store.loseShare
+	late := lost && e.Rand.IntN(2) == 0
+	e.After(storeDelay, func() {
+		switch {
+		case e.store.down || l.storeCut:
+		case late:
+			e.After(minLateness+time.Duration(e.Rand.Int64N(int64(latenessRange))), write)
+		default:
+			write()
+		}
+		e.After(storeDelay, l.resigned)
+	})
+}
+
 // Kill stops the leader without notice, as the end of its process does.
 func (l *Leader) Kill() { l.dead = true }
 
@@ -268,17 +312,21 @@
 			l.Events = append(l.Events, cmd)
 		}
 	case flow.StartCmd:
+		l.checkOrder(true)
 		l.start(cmd)
 	case flow.StopCmd:
 		l.stop(cmd)
 	case flow.ThrottleCmd:
 		l.throttle(cmd)
 	case flow.RenewCmd:
+		l.checkOrder(cmd.Order.HasDeadline)
 		l.renewLease(cmd)
 	case flow.AdviseCmd:
 		l.advise(cmd)
 	case flow.CommitCmd:
 		l.e.commit(l, cmd)
+	case flow.HandoverCmd:
+		l.handOver(cmd)
 	case flow.LostCmd:
 		l.LostReason = cmd.Why
 	}
--- a/internal/layout/layout.go
+++ b/internal/layout/layout.go
@@ -9,6 +9,7 @@
 //	Mangoslip/Progress/ID      the progress of a job
 //	Mangoslip/Roster           the workers that may have received orders
 //	Mangoslip/Beliefs          estimates of the interference between images
+//	Mangoslip/Handover         what the last leader that resigned knew of runs
 //	Mangoslip/Entries/NAME     a running entry, under a lease
 //
 // The term and the jobs share a prefix, so that one watch delivers them in the
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -172,6 +172,8 @@
 	t       *testing.T
 	store   *memory.Store
 	workers *workers
+	// pool holds further workers. It is nil if there is only one.
+	pool    *pool
 	adviser *adviser
 	entries []*entry
 	// log holds what the entries logged.
@@ -248,7 +250,7 @@
 	l := leader.New(leader.Settings{
 		Name: sched.EntryName(name), Processors: processors, MembersPrefix: membersPrefix, DecodeMembers: c.decodeMembers,
 		MachineOptions: []flow.Option{flow.WithWallClock(c.wallMillis)},
-	}, client, c.workers, leader.WithAdviser(c.adviser), leader.WithClock(c.now), leader.WithLogger(slog.New(slog.NewTextHandler(&c.log, nil))), leader.WithReachable(c.reachable), leader.WithAskPeers(c.askPeers), leader.WithAnnouncer(func(v layout.Leader) {
+	}, client, c.orders(), leader.WithAdviser(c.adviser), leader.WithClock(c.now), leader.WithLogger(slog.New(slog.NewTextHandler(&c.log, nil))), leader.WithReachable(c.reachable), leader.WithAskPeers(c.askPeers), leader.WithAnnouncer(func(v layout.Leader) {
 		for _, e := range c.entries {
 			if e.Current().Name != v.Name {
 				go e.ObserveLeader(v)
@@ -316,6 +318,7 @@
 			Worker: sched.WorkerName(strings.TrimPrefix(i.Key, membersPrefix)), Service: "S",
 			Addr: netip.MustParseAddrPort("127.0.0.1:1"), Born: 1,
 			Capacity: sched.Resources{CPU: 32000, Memory: 64 << 30},
+			Draining: string(i.Value) == drains, DrainLeft: time.Second,
 		})
 	}
 	return out, nil
--- /dev/null
+++ b/internal/leader/load.go
@@ -0,0 +1,95 @@
+package leader
+
+import (
+	"context"
+
+	"github.com/mangoslip/mangoslip/internal/layout"
+	"github.com/mangoslip/mangoslip/pkg/sched"
+	"github.com/mangoslip/mangoslip/pkg/sched/flow"
+)
+
+// load reads the stored state and delivers it to the state machine, which then
+// asks the workers for their runs. It returns the version of the store from which
+// to watch for further work.
+func (t *term) load() (sched.Version, error) {
+	t.spawn("renew lease", t.renewWhileLoading)
+	storedProgress, err := t.rangeWithRetry(layout.Root + flow.KeyProgress)
+	if err != nil {
+		return 0, err
+	}
+	takeover, err := t.loadTakeover()
+	if err != nil {
+		return 0, err
+	}
+	members, err := t.rangeWithRetry(t.l.MembersPrefix)
+	if err != nil {
+		return 0, err
+	}
+	// The work comes last, so that cancellations are not older than necessary when
+	// tasks are started. No earlier leader can change the progress any more.
+	work, err := t.rangeWithRetry(layout.WorkPrefix)
+	if err != nil {
+		return 0, err
+	}
+	progress := storedProgress.byKey()
+	t.post(flow.ConfirmedMsg{Asked: t.confirmedAt})
+	t.l.mu.Lock()
+	fleet := t.l.fleet
+	t.l.mu.Unlock()
+	t.post(flow.ConfigMsg{Fleet: fleet})
+	t.postMembers(members)
+	for _, i := range work.items {
+		t.postWork(sched.Change{Item: i}, progress)
+	}
+	t.recordWorkRead(work.asked)
+	t.post(takeover)
+	t.l.log.Info("state loaded", "term", t.number, "items", len(work.items), "progress", len(storedProgress.items),
+		"members", len(members.items), "roster", len(takeover.Roster), "handover", len(takeover.Handover),
+		"took", t.l.now().Sub(t.started))
+	t.l.mu.Lock()
+	t.loaded = true
+	t.l.mu.Unlock()
+	return work.version, nil
+}
+
+// loadTakeover reads what earlier leaders recorded apart from the progress of jobs.
+func (t *term) loadTakeover() (flow.TakeoverMsg, error) {
+	msg := flow.TakeoverMsg{Began: t.started}
+	for _, key := range []string{flow.KeyRoster, flow.KeyInterference, flow.KeyHandover} {
+		stored, err := t.rangeWithRetry(layout.Root + key)
+		if err != nil {
+			return msg, err
+		}
+		i, ok := stored.byKey()[layout.Root+key]
+		switch {
+		case !ok:
+		case key == flow.KeyRoster:
+			msg.Version = i.Version
+			if msg.Roster, err = flow.DecodeRoster(i.Value); err != nil {
+				t.l.log.Error("roster is damaged", "version", i.Version, "error", err)
+				msg.Roster = nil
+			}
+		case key == flow.KeyInterference:
+			msg.Interference, msg.InterferenceVersion = i.Value, i.Version
+		case key == flow.KeyHandover:
+			msg.Handover = i.Value
+		}
+	}
+	return msg, nil
+}
+
+// rangeWithRetry reads the items under a prefix, and retries until this succeeds
+// or the term ends.
+func (t *term) rangeWithRetry(prefix string) (reading, error) {
+	for {
+		r, err := t.read(prefix)
+		if err == nil {
+			return r, nil
+		}
+		t.l.log.Warn("state not loaded", "term", t.number, "prefix", prefix, "error", err)
+		pause(t.ctx, retryPause)
+		if t.ctx.Err() != nil {
+			return reading{}, context.Cause(t.ctx)
+		}
+	}
+}
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -1,7 +1,6 @@
 package leader
 
 import (
-	"context"
 	"errors"
 	"time"
 
@@ -117,6 +116,9 @@
 	if err != nil {
 		t.l.stats.Count("DamagedRecords", 1)
 		t.l.log.Error("stored job is not run", "id", id, "version", c.Version, "error", err)
+		t.mu.Lock()
+		t.skipped[id] = true
+		t.mu.Unlock()
 		return
 	}
 	p := progress[layout.Root+flow.KeyProgress+string(id)]
@@ -327,31 +329,3 @@
 		t.recordConfirmation(asked)
 	}
 }
-
-// resignFlushTimeout bounds the wait for pending records before a leader
-// resigns.
-const resignFlushTimeout = 400 * time.Millisecond
-
-// resign ends the term voluntarily. It waits for pending records to become
-// durable and then removes the leader's key, so that another entry can lead at
-// once.
-func (t *term) resign(ctx context.Context, why string) {
-	deadline := time.Now().Add(resignFlushTimeout)
-	for time.Now().Before(deadline) {
-		t.mu.Lock()
-		waiting := t.machine.Totals().Uncommitted
-		t.mu.Unlock()
-		if waiting == 0 {
-			break
-		}
-		pause(ctx, 20*time.Millisecond)
-	}
-	t.end(why)
-	select {
-	case lease := <-t.lease:
-		if err := t.l.store.Revoke(ctx, lease); err != nil {
-			t.l.log.Warn("leader's lease not revoked", "term", t.number, "error", err)
-		}
-	case <-ctx.Done():
-	}
-}
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -55,8 +55,13 @@
 	// loggedInvalid holds the keys of the register of workers that have been
 	// logged as invalid.
 	loggedInvalid map[string]bool
+	// skipped holds the jobs that were not delivered to the machine.
+	skipped map[sched.JobID]bool
 	// loaded is guarded by l.mu.
 	loaded bool
+	// handedOver is closed when the machine has resigned and what it knows of runs
+	// has been written, or could not be.
+	handedOver chan struct{}
 }
 
 // errTermOver is the cause with which the context of a term is cancelled.
@@ -68,7 +73,7 @@
 	x := &term{
 		l: l, number: t.Number, version: version, lease: make(chan sched.LeaseID, 1), started: l.now(),
 		confirmedAt: l.now(), loggedInvalid: map[string]bool{},
-		orderSlots: make(chan struct{}, maxDirectOrders),
+		orderSlots: make(chan struct{}, maxDirectOrders), skipped: map[sched.JobID]bool{}, handedOver: make(chan struct{}),
 	}
 	x.lease <- lease
 	x.ctx, x.cancel = context.WithCancelCause(ctx)
@@ -120,84 +125,6 @@
 	t.cancel(errTermOver)
 }
 
-// load reads the stored state and delivers it to the state machine, which then
-// asks the workers for their runs. It returns the version of the store from which
-// to watch for further work.
-func (t *term) load() (sched.Version, error) {
-	t.spawn("renew lease", t.renewWhileLoading)
-	storedProgress, err := t.rangeWithRetry(layout.Root + flow.KeyProgress)
-	if err != nil {
-		return 0, err
-	}
-	rosterItems, err := t.rangeWithRetry(layout.Root + flow.KeyRoster)
-	if err != nil {
-		return 0, err
-	}
-	estimates, err := t.rangeWithRetry(layout.Root + flow.KeyInterference)
-	if err != nil {
-		return 0, err
-	}
-	members, err := t.rangeWithRetry(t.l.MembersPrefix)
-	if err != nil {
-		return 0, err
-	}
-	// The work comes last, so that cancellations are not older than necessary when
-	// tasks are started. No earlier leader can change the progress any more.
-	work, err := t.rangeWithRetry(layout.WorkPrefix)
-	if err != nil {
-		return 0, err
-	}
-	progress := storedProgress.byKey()
-	t.post(flow.ConfirmedMsg{Asked: t.confirmedAt})
-	t.l.mu.Lock()
-	fleet := t.l.fleet
-	t.l.mu.Unlock()
-	t.post(flow.ConfigMsg{Fleet: fleet})
-	t.postMembers(members)
-	for _, i := range work.items {
-		t.postWork(sched.Change{Item: i}, progress)
-	}
-	t.recordWorkRead(work.asked)
-	takeover := flow.TakeoverMsg{}
-	for _, i := range estimates.items {
-		if i.Key == layout.Root+flow.KeyInterference {
-			takeover.Interference, takeover.InterferenceVersion = i.Value, i.Version
-		}
-	}
-	for _, i := range rosterItems.items {
-		if i.Key != layout.Root+flow.KeyRoster {
-			continue
-		}
-		takeover.Version = i.Version
-		if takeover.Roster, err = flow.DecodeRoster(i.Value); err != nil {
-			t.l.log.Error("roster is damaged", "version", i.Version, "error", err)
-		}
-	}
-	t.post(takeover)
-	t.l.log.Info("state loaded", "term", t.number, "items", len(work.items), "progress", len(storedProgress.items),
-		"members", len(members.items), "roster", len(takeover.Roster), "took", t.l.now().Sub(t.started))
-	t.l.mu.Lock()
-	t.loaded = true
-	t.l.mu.Unlock()
-	return work.version, nil
-}
-
-// rangeWithRetry reads the items under a prefix, and retries until this succeeds
-// or the term ends.
-func (t *term) rangeWithRetry(prefix string) (reading, error) {
-	for {
-		r, err := t.read(prefix)
-		if err == nil {
-			return r, nil
-		}
-		t.l.log.Warn("state not loaded", "term", t.number, "prefix", prefix, "error", err)
-		pause(t.ctx, retryPause)
-		if t.ctx.Err() != nil {
-			return reading{}, context.Cause(t.ctx)
-		}
-	}
-}
-
 // post delivers a message to the state machine and executes the commands that it
 // returns.
 func (t *term) post(msg sched.Msg) {
@@ -267,6 +194,8 @@
 	case flow.CommitCmd:
 		t.l.stats.Count("Commits", 1)
 		t.effect("commit", func() { t.commit(cmd) })
+	case flow.HandoverCmd:
+		t.effect("hand over", func() { t.handOver(cmd) })
 	case flow.LostCmd:
 		t.end(cmd.Why)
 	}
--- a/pkg/sched/flow/accept.go
+++ b/pkg/sched/flow/accept.go
@@ -11,8 +11,8 @@
 		return
 	}
 	j := &job{
-		spec: msg.Job, queue: msg.Job.Queue, version: msg.Version, inherited: msg.Inherited,
-		remaining: msg.Job.Occurrences(),
+		spec: msg.Job, queue: msg.Job.Queue, version: msg.Version,
+		inherited: msg.Inherited && !m.recovery.resolved, remaining: msg.Job.Occurrences(),
 	}
 	j.acceptedAt = m.now
 	if age := time.Duration(m.wallMillis(m.now)-msg.Accepted) * time.Millisecond; age > 0 {
@@ -97,7 +97,7 @@
 		spec := &j.spec.Steps[i]
 		s := &step{occ: o, spec: spec, index: i, unfinishedBefore: len(spec.After), remaining: spec.Count}
 		for n := range spec.Count {
-			s.tasks = append(s.tasks, &task{step: s, index: n, mayBeRunning: j.inherited})
+			s.tasks = append(s.tasks, &task{step: s, index: n, unresolved: j.inherited})
 		}
 		o.steps = append(o.steps, s)
 		if spec.Count > 0 {
--- a/pkg/sched/flow/commit.go
+++ b/pkg/sched/flow/commit.go
@@ -82,7 +82,7 @@
 	if !m.loaded || m.now.Before(c.notBefore) || len(c.inFlight) >= maxCommitsInFlight {
 		return
 	}
-	if m.roster.dirty && !m.roster.inFlight {
+	if m.roster.dirty && !m.roster.inFlight && !m.resignation.began {
 		m.sendRoster()
 	}
 	m.saveEstimates()
--- a/pkg/sched/flow/estimates.go
+++ b/pkg/sched/flow/estimates.go
@@ -89,7 +89,7 @@
 // saveEstimates records the estimates if they have changed.
 func (m *Machine) saveEstimates() {
 	r := &m.estimateRecord
-	if !r.dirty || r.inFlight || m.now.Sub(r.savedAt) < saveEstimatesEvery {
+	if !r.dirty || r.inFlight || m.now.Sub(r.savedAt) < saveEstimatesEvery && !m.resignation.began {
 		return
 	}
 	c := &m.commits
--- a/pkg/sched/flow/fault_test.go
+++ b/pkg/sched/flow/fault_test.go
@@ -60,6 +60,53 @@
 				e.After(time.Duration(i)*900*time.Millisecond, func() { e.Lead() })
 			}
 		}},
+		{"LeadersResignInTurn", func(e *emul.Emulator, _ *emul.Leader) { resignInTurn(e, 4, 900*time.Millisecond) }},
+		{"LeadersResignWhileWorkersLeave", func(e *emul.Emulator, _ *emul.Leader) {
+			resignInTurn(e, 5, 1500*time.Millisecond)
+			forShare(e, 0.2, func(w *emul.Worker) {
+				e.After(time.Duration(e.Rand.Int64N(int64(6*time.Second))), func() { w.Drain(4 * time.Second) })
+			})
+		}},
+		{"LeadersResignAndDie", func(e *emul.Emulator, l *emul.Leader) {
+			forShare(e, 0.15, func(w *emul.Worker) { w.Crash(6 * time.Second) })
+			l.Kill()
+			e.After(1500*time.Millisecond, func() {
+				e.Lead()
+				resignInTurn(e, 4, 700*time.Millisecond)
+			})
+		}},
+		{"LeadersResignWhileAnswersAreLost", func(e *emul.Emulator, _ *emul.Leader) {
+			e.LateShare, e.LoseAnswers = 0.06, 0.05
+			e.LoseCommits(0.35)
+			resignInTurn(e, 4, 1200*time.Millisecond)
+			e.After(8*time.Second, func() {
+				e.LateShare, e.LoseAnswers = 0, 0
+				e.LoseCommits(0)
+			})
+		}},
+		{"ReplacedLeaderGoesOnWhileOthersResign", func(e *emul.Emulator, l *emul.Leader) {
+			l.CutStore(true)
+			e.After(1500*time.Millisecond, func() {
+				n := e.Lead()
+				forShare(e, 0.3, func(w *emul.Worker) {
+					n.CutWorker(w, true)
+					e.After(15*time.Second, func() { n.CutWorker(w, false) })
+				})
+				resignInTurn(e, 3, 800*time.Millisecond)
+			})
+		}},
+		{"WorkersAreCutOffFromLeadersThatResign", func(e *emul.Emulator, l *emul.Leader) {
+			for i := range 3 {
+				e.After(time.Duration(i)*time.Second, func() {
+					n := e.Newest()
+					forShare(e, 0.2, func(w *emul.Worker) {
+						n.CutWorker(w, true)
+						e.After(9*time.Second, func() { n.CutWorker(w, false) })
+					})
+				})
+			}
+			resignInTurn(e, 3, 1200*time.Millisecond)
+		}},
 		{"StoreIsDown", func(e *emul.Emulator, _ *emul.Leader) {
 			e.SetStoreDown(true)
 			e.After(9*time.Second, func() { e.SetStoreDown(false) })
@@ -135,6 +182,22 @@
 	}
 }
 
+// resignInTurn makes the leader resign n times with pauses. Each next leader begins
+// its term 50 ms later.
+func resignInTurn(e *emul.Emulator, n int, pause time.Duration) {
+	if n == 0 {
+		return
+	}
+	e.After(pause, func() {
+		e.Newest().Resign(func() {
+			e.After(50*time.Millisecond, func() {
+				e.Lead()
+				resignInTurn(e, n-1, pause)
+			})
+		})
+	})
+}
+
 // Guards against a failure that makes a task run in two places or after its
 // end, that lets a step start too early, that shows a job in a wrong state, or
 // that leaves a job unfinished after the failure is over.
--- a/pkg/sched/flow/finish.go
+++ b/pkg/sched/flow/finish.go
@@ -37,7 +37,7 @@
 			}
 			next.unfinishedBefore--
 			if s.successHidden {
-				next.clearMayBeRunning()
+				next.resolve()
 			}
 			if next.unfinishedBefore == 0 && s.occ.job.opened > s.occ.index && !s.occ.job.state.Final() {
 				m.openStep(next)
@@ -46,11 +46,10 @@
 	}
 }
 
-// clearMayBeRunning records that no earlier leader has started tasks of the
-// step.
-func (s *step) clearMayBeRunning() {
+// resolve records that no earlier leader has started tasks of the step.
+func (s *step) resolve() {
 	for _, t := range s.tasks {
-		t.mayBeRunning = false
+		t.unresolved = false
 	}
 }
 
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -30,6 +30,9 @@
 // task that an earlier leader may have started. If a worker does not answer,
 // such tasks wait until the leases granted by the earlier leader have expired.
 //
+// A leader that resigns hands over which workers may have which runs. The next
+// leader then waits for no other worker, and only with the tasks that are named.
+//
 // # Usage
 //
 //	m := flow.New(term, flow.WithLease(4*time.Second, 6*time.Second))
@@ -71,6 +74,7 @@
 	workers map[sched.WorkerName]*worker
 	order   []*worker
 
+	resignation    resignation
 	commits        commits
 	roster         roster
 	recovery       recovery
@@ -154,16 +158,20 @@
 // Update consumes one message at time now and returns the commands to execute,
 // in order.
 func (m *Machine) Update(now time.Time, msg sched.Msg) []sched.Cmd {
-	if m.lost {
+	if m.lost || m.resignation.done {
 		return nil
 	}
 	m.now, m.cmds = now, nil
+	if m.resignation.began {
+		m.updateResigned(msg)
+		return m.cmds
+	}
 	// The process may have been paused since the last message, so that the
 	// permission or the knowledge of work and workers has expired without a tick.
 	m.updateMayIssueOrders()
 	m.updateKnowledge()
 	m.apply(msg)
-	if m.lost {
+	if m.lost || m.resignation.began {
 		return m.cmds
 	}
 	m.schedule()
@@ -210,6 +218,8 @@
 		m.handleCommitted(msg)
 	case CommitFailedMsg:
 		m.handleCommitFailed(msg)
+	case ResignMsg:
+		m.resign(msg)
 	}
 }
 
--- a/pkg/sched/flow/gang.go
+++ b/pkg/sched/flow/gang.go
@@ -68,7 +68,7 @@
 		if t.phase == phaseDone {
 			continue
 		}
-		if t.phase != phaseQueued || (t.mayBeRunning && p.m.recovery.active) {
+		if t.phase != phaseQueued || t.mayBeRunning() {
 			return
 		}
 		number = max(number, p.m.nextNumber(t))
--- a/pkg/sched/flow/job.go
+++ b/pkg/sched/flow/job.go
@@ -13,7 +13,7 @@
 	queue sched.QueueName
 	// acceptedAt is when the job was accepted, on the machine's clock.
 	acceptedAt time.Time
-	// inherited means that an earlier leader may have started its tasks.
+	// inherited means that an earlier leader may have started any of its tasks.
 	inherited bool
 
 	occurrences []*occurrence
@@ -111,11 +111,17 @@
 	avoid []sched.WorkerName
 	// queuedAt is when the task last began to wait for a worker.
 	queuedAt time.Time
-	// mayBeRunning means that an earlier leader may have started the task on a
-	// worker that has not answered yet.
-	mayBeRunning bool
+	// unresolved means that an earlier leader may have started the task on any of the
+	// recovery's holders. mayRunOn counts the unanswered workers on which an earlier
+	// leader, as it handed over, may have a run of the task.
+	unresolved bool
+	mayRunOn   int
 }
 
+// mayBeRunning reports whether an earlier leader may have started the task on a
+// worker that has not answered yet.
+func (t *task) mayBeRunning() bool { return t.unresolved || t.mayRunOn > 0 }
+
 func (t *task) job() *job { return t.step.occ.job }
 
 func (t *task) id() sched.RunTask {
--- a/pkg/sched/flow/messages.go
+++ b/pkg/sched/flow/messages.go
@@ -46,8 +46,22 @@
 	// the stored value.
 	Interference        []byte
 	InterferenceVersion sched.Version
+	// Handover is the record of the last leader that resigned, empty if there is none.
+	// Began is when the term began, after any record of an earlier one was written.
+	Handover []byte
+	Began    time.Time
 }
 
+// ResignMsg ends the term voluntarily. From then on the machine issues no orders. Once
+// the changes of jobs are durable, or after handoverWait, it returns a HandoverCmd.
+// Skipped lists the jobs that were not delivered because they are damaged.
+type ResignMsg struct{ Skipped []sched.JobID }
+
+// HandoverCmd is the last command of a machine that resigns. Value is to be written
+// under KeyHandover, in the transaction that removes the leader's key, on the condition
+// that the term is unchanged. It is nil if the machine knows nothing of the runs.
+type HandoverCmd struct{ Value []byte }
+
 // StartCmd starts a run. The runner answers with a StartResultMsg.
 type StartCmd struct {
 	Member sched.Member
@@ -167,4 +181,6 @@
 	// KeyInterference is the key of the interference estimates for pairs of
 	// images.
 	KeyInterference = "Beliefs"
+	// KeyHandover is the key of what the last leader that resigned knew of runs.
+	KeyHandover = "Handover"
 )
--- a/pkg/sched/flow/outcome.go
+++ b/pkg/sched/flow/outcome.go
@@ -24,11 +24,11 @@
 }
 
 // hiddenFromEarlierLeaders reports whether no earlier leader can have seen the
-// end of a run that was in progress in this term. This holds if this term
-// started the run, or if its worker has rejected earlier leaders for longer
+// end of a run that was in progress in this term. This holds if that leader has handed
+// over, if this term started the run, or if its worker has rejected earlier leaders for longer
 // than they rely on an answer from it.
 func (m *Machine) hiddenFromEarlierLeaders(r *run) bool {
-	return r.number > (m.term-1)*runNumbersPerTerm || m.now.Sub(r.worker.answeredAt) > answerValid
+	return m.recovery.handedOver || r.number > (m.term-1)*runNumbersPerTerm || m.now.Sub(r.worker.answeredAt) > answerValid
 }
 
 // taskEnded applies the end of a run to its task. The run may be one that this
--- a/pkg/sched/flow/recover.go
+++ b/pkg/sched/flow/recover.go
@@ -18,8 +18,21 @@
 	// holds those of them that have not answered in this term.
 	total      int
 	unanswered map[*worker]bool
-	// holders holds the unanswered workers that may have runs of an earlier leader.
-	holders map[*worker]bool
+	// holders holds the unanswered workers that may have any of the unresolved tasks.
+	// resolved means that there are none left.
+	holders  map[*worker]bool
+	resolved bool
+	// handedOver means that no earlier leader issues orders any more: the last one
+	// has handed over its runs.
+	handedOver bool
+	// named holds the tasks that may be running on an unanswered worker, as the
+	// earlier leader handed them over, and expiry when the leases there have expired.
+	named  map[*worker][]*task
+	expiry map[*worker]time.Time
+	// awaited holds the holders and the workers with named tasks, in a fixed order.
+	// silent counts those that did not answer before their leases had expired.
+	awaited []*worker
+	silent  int
 }
 
 // unlistedGoneAfter is how long a worker has to be missing from the register
@@ -43,7 +56,16 @@
 // answered records that a worker has answered in this term.
 func (r *recovery) answered(w *worker) {
 	delete(r.unanswered, w)
+	r.resolve(w)
+}
+
+// resolve records that a worker has no runs of an earlier leader that are not known.
+func (r *recovery) resolve(w *worker) {
 	delete(r.holders, w)
+	for _, t := range r.named[w] {
+		t.mayRunOn--
+	}
+	delete(r.named, w)
 }
 
 // waitsFor reports whether the recovery waits for an answer of the worker.
@@ -54,7 +76,10 @@
 func (m *Machine) takeOver(msg TakeoverMsg) {
 	m.loaded, m.roster.version = true, msg.Version
 	m.restoreEstimates(msg.Interference, msg.InterferenceVersion)
-	m.recovery = recovery{active: true, unanswered: map[*worker]bool{}, holders: map[*worker]bool{}}
+	m.recovery = recovery{
+		active: true, unanswered: map[*worker]bool{}, holders: map[*worker]bool{},
+		named: map[*worker][]*task{}, expiry: map[*worker]time.Time{},
+	}
 	for _, mb := range msg.Roster {
 		if m.workers[mb.Worker] == nil {
 			m.addWorker(mb).unlistedAt = m.now
@@ -68,14 +93,30 @@
 		}
 	}
 	m.recovery.total = len(m.order)
+	m.restoreHandover(msg)
+	m.recovery.awaitAll(m.order)
 	m.roster.dirty = true
-	m.log("takeover started", "term", m.term, "workers", len(m.order),
-		"holders", len(m.recovery.holders), "jobs", len(m.live))
+	m.log("takeover started", "term", m.term, "workers", len(m.order), "handedOver", m.recovery.handedOver,
+		"awaited", len(m.recovery.awaited), "named", len(m.recovery.named), "jobs", len(m.live))
 	for _, w := range m.order {
 		m.maintainWorker(w)
 	}
+	m.endRecovery()
 }
 
+// awaitAll lists the workers that may have runs of an earlier leader.
+func (r *recovery) awaitAll(order []*worker) {
+	for _, w := range order {
+		if r.mayHaveRuns(w) {
+			r.awaited = append(r.awaited, w)
+		}
+	}
+}
+
+// mayHaveRuns reports whether a worker may have runs of an earlier leader that are not
+// known.
+func (r *recovery) mayHaveRuns(w *worker) bool { return r.holders[w] || len(r.named[w]) > 0 }
+
 // endRecovery ends the recovery once every worker that may have runs has answered,
 // or once the leases of the others have expired.
 func (m *Machine) endRecovery() {
@@ -83,23 +124,60 @@
 	if !r.active {
 		return
 	}
-	if r.until.IsZero() && 2*m.workersOfEarlierLeader() <= r.total {
-		// An earlier leader needs a confirmation by the store or by more than half of
-		// the workers, and can get neither any more. It may rely on its last
-		// confirmation and renew leases until that expires.
-		confirmation := max(confirmationValid, answerValid)
-		r.until = m.now.Add(confirmation + time.Duration(float64(m.lease)*clockDrift) + maxOrderDelay)
+	if r.until.IsZero() && !r.handedOver && 2*m.workersOfEarlierLeader() <= r.total {
+		r.until = m.now.Add(m.orderLifetime())
+	}
+	m.resolveExpired()
+	if len(r.holders) > 0 {
+		return
+	}
+	if !r.resolved {
+		r.resolved, m.stale = true, true
+		for _, j := range m.live {
+			j.setUnresolved(false)
+		}
 	}
-	if len(r.holders) > 0 && (r.until.IsZero() || m.now.Before(r.until)) {
+	if len(r.awaited) > 0 {
 		return
 	}
 	r.active = false
-	m.log("takeover complete", "term", m.term, "silent", len(r.holders))
-	for _, j := range m.live {
-		j.inherited = false
-		for _, t := range j.tasks() {
-			t.mayBeRunning = false
+	m.log("takeover complete", "term", m.term, "silent", r.silent)
+}
+
+// resolveExpired resolves the workers whose leases have expired.
+func (m *Machine) resolveExpired() {
+	r := &m.recovery
+	keep := r.awaited[:0]
+	for _, w := range r.awaited {
+		if !r.mayHaveRuns(w) {
+			continue
+		}
+		if until := r.expiresAt(w); !until.IsZero() && !m.now.Before(until) {
+			r.silent++
+			r.resolve(w)
+			m.stale = true
+			continue
 		}
+		keep = append(keep, w)
 	}
-	m.stale = true
+	clear(r.awaited[len(keep):])
+	r.awaited = keep
+}
+
+// expiresAt returns when the leases on a worker have expired that an earlier leader
+// granted, or the zero time while that is not known.
+func (r *recovery) expiresAt(w *worker) time.Time {
+	if at, ok := r.expiry[w]; ok {
+		return at
+	}
+	return r.until
+}
+
+// orderLifetime returns how long the orders of an earlier leader may have an effect
+// after at least half of the workers reject them. That leader needs a confirmation by
+// the store or by more than half of the workers, and can get neither any more. It may
+// rely on its last confirmation and renew leases until that expires.
+func (m *Machine) orderLifetime() time.Duration {
+	confirmation := max(confirmationValid, answerValid)
+	return confirmation + time.Duration(float64(m.lease)*clockDrift) + maxOrderDelay
 }
--- a/pkg/sched/flow/renewal.go
+++ b/pkg/sched/flow/renewal.go
@@ -61,7 +61,7 @@
 // maintainWorker renews a worker's leases if that is due. It also repeats stops
 // and ends the runs of a worker whose leases have expired.
 func (m *Machine) maintainWorker(w *worker) {
-	if !m.loaded {
+	if !m.loaded || m.resignation.began {
 		return
 	}
 	m.repeatStops(w)
--- a/pkg/sched/flow/schedule.go
+++ b/pkg/sched/flow/schedule.go
@@ -216,7 +216,7 @@
 			p.unplaced = append(p.unplaced, s)
 			return
 		}
-		if t.mayBeRunning && p.m.recovery.active {
+		if t.mayBeRunning() {
 			p.m.setBlocked(s, "an earlier run may still be running")
 			continue
 		}
--- a/pkg/sched/flow/start.go
+++ b/pkg/sched/flow/start.go
@@ -81,7 +81,7 @@
 func (m *Machine) Wanted(now time.Time, worker sched.WorkerName, id sched.Run) bool {
 	m.now = now
 	w := m.workers[worker]
-	if w == nil {
+	if w == nil || m.resignation.began {
 		return false
 	}
 	r := w.runs[id]
