End runs by lease expiry only if no newer leader can have renewed the leases

A leader that gets no answers of a worker takes its runs for ended once the leases that it granted have expired. If a newer leader had begun meanwhile and reached the worker, it had adopted the runs and renewed their leases. The earlier leader, cut off from the store and still confirmed for 2 s, then started the same tasks on workers that the newer one did not reach.

Such runs now count as ended only if the store showed the term as the newest after the leases had expired. During an outage that is confirmed by other entries, the answers of most workers suffice, as for starts.

--- a/internal/emul/store.go
+++ b/internal/emul/store.go
@@ -138,12 +138,18 @@
 
 // Lead begins a term with a new state machine and passes it the content of the
 // store. Earlier leaders continue until they learn of the term or are killed.
-func (e *Emulator) Lead(opts ...flow.Option) *Leader {
+func (e *Emulator) Lead(opts ...flow.Option) *Leader { return e.LeadCutOffFrom(nil, opts...) }
+
+// LeadCutOffFrom begins a term like Lead. The leader is cut off from some workers.
+func (e *Emulator) LeadCutOffFrom(workers []*Worker, opts ...flow.Option) *Leader {
 	s := &e.store
 	s.term++
 	s.termVersion = s.nextVersion()
 	wall := flow.WithWallClock(func(now time.Time) int64 { return now.UnixMilli() })
 	l := &Leader{e: e, term: s.term, cut: map[*Worker]bool{}}
+	for _, w := range workers {
+		l.cut[w] = true
+	}
 	l.Machine = flow.New(s.term, append([]flow.Option{wall}, opts...)...)
 	for _, old := range e.leaders {
 		old.stepDown()
--- a/pkg/sched/flow/confirmation.go
+++ b/pkg/sched/flow/confirmation.go
@@ -63,3 +63,15 @@
 		m.stale = true
 	}
 }
+
+// ledAt reports whether no newer leader had begun at the given time: the store has
+// shown this term, or the work and with it the term, as it was later. During an outage
+// of the store, it is enough that the store has answered nobody for longer than an
+// answer of a worker is valid, while most workers answer this leader. A newer leader
+// would have asked them meanwhile.
+func (m *Machine) ledAt(at time.Time) bool {
+	if !m.confirmedAt.Before(at) || !m.workReadAt.Before(at) {
+		return true
+	}
+	return m.unconfirmed() && m.mayStart() && m.now.Sub(m.storeAnsweredAt) > answerValid
+}
--- a/pkg/sched/flow/recover_test.go
+++ b/pkg/sched/flow/recover_test.go
@@ -191,3 +191,52 @@
 	require.Zero(t, draining.Running())
 	requireNoViolations(t, e)
 }
+
+// Guards against an earlier leader that cannot reach a worker, takes the leases there
+// for expired, and starts a run again whose lease a newer leader has renewed.
+func TestExpiredLeasesMayHaveBeenRenewed(t *testing.T) {
+	e := emul.New(26)
+	e.AddWorkers(8, sched.Resources{CPU: 32000, Memory: 125 * gib})
+	e.AddQueue(sched.Queue{Name: "Q", MaxAttempts: 3})
+	old := e.Lead()
+	long := sched.StepSpec{Count: 1, Resources: sched.Resources{CPU: 2000, Memory: gib}, Perpetual: true}
+	e.Submit(&sched.Workflow{ID: "long", Queue: "Q", Steps: []sched.StepSpec{long}}, emul.Work{})
+	e.RunFor(3 * time.Second)
+	e.LoseAnswers = 1
+	e.RunFor(6200 * time.Millisecond)
+	e.LoseAnswers = 0
+	var others []*emul.Worker
+	for _, w := range e.Workers {
+		old.CutWorker(w, w.Running() > 0)
+		if w.Running() == 0 {
+			others = append(others, w)
+		}
+	}
+	old.CutStore(true)
+	e.LeadCutOffFrom(others)
+	e.RunFor(20 * time.Second)
+	requireNoViolations(t, e)
+	require.Equal(t, 1, e.Running())
+}
+
+// Guards against tasks of a worker that is lost during an outage of the store and that
+// wait until the outage is over.
+func TestTasksOfLostWorkersStartDuringOutage(t *testing.T) {
+	e := emul.New(27)
+	e.AddWorkers(8, sched.Resources{CPU: 32000, Memory: 125 * gib})
+	e.AddQueue(sched.Queue{Name: "Q", MaxAttempts: 3})
+	e.Lead()
+	long := sched.StepSpec{Count: 1, Resources: sched.Resources{CPU: 2000, Memory: gib}, Perpetual: true}
+	e.Submit(&sched.Workflow{ID: "long", Queue: "Q", Steps: []sched.StepSpec{long}}, emul.Work{})
+	e.RunFor(3 * time.Second)
+	e.SetStoreDown(true)
+	e.RunFor(time.Second)
+	for _, w := range e.Workers {
+		if w.Running() > 0 {
+			w.Crash(time.Minute)
+		}
+	}
+	e.RunFor(8 * time.Second)
+	require.Equal(t, 1, e.Running())
+	requireNoViolations(t, e)
+}
--- a/pkg/sched/flow/renewal.go
+++ b/pkg/sched/flow/renewal.go
@@ -65,7 +65,7 @@
 		return
 	}
 	m.repeatStops(w)
-	if w.leasesExpired(m.now) && len(w.runs) > 0 {
+	if len(w.runs) > 0 && w.leasesExpired(m.now) && m.ledAt(w.leasesExpireAt) {
 		m.endExpiredRuns(w)
 	}
 	if w.renewal.inCall || m.now.Before(w.renewal.notBefore) || w.replaced {
@@ -182,7 +182,7 @@
 }
 
 // endExpiredRuns ends the runs of a worker whose latest deadline has certainly
-// passed.
+// passed before a newer leader could extend it.
 func (m *Machine) endExpiredRuns(w *worker) {
 	m.log("leases expired", "worker", w.name(), "runs", len(w.runs), "contact", w.sinceContact(m.now))
 	for _, r := range w.snapshot() {
