Start a task again whose adopted run ended, beside silent workers

After a crash of the leader, a task whose run the next one had adopted and stopped on a draining worker still waited for the end of the recovery, up to 6.6 s after half of the workers had answered, although the run was the proof that the task runs nowhere else.

An end that the worker lists, and that no earlier leader can have learned of, now resolves the task alone. Other ends prove nothing: a restarted worker has forgotten the fencing token, so an earlier leader may have learned of them first.

TestTaskStartsAgainBesideASilentWorker failed before: go test ./pkg/sched/flow -run TestTaskStartsAgainBesideASilentWorker; running: expected 1, actual 0.

--- a/pkg/sched/flow/recover.go
+++ b/pkg/sched/flow/recover.go
@@ -144,6 +144,16 @@
 	m.log("takeover complete", "term", m.term, "silent", r.silent)
 }
 
+// resolveTask records that a run of the task was in progress in this term, whose end its
+// worker lists. No earlier leader can have taken it for ended and started another one.
+// An earlier leader can have learnt of any other end first: a restarted worker has
+// forgotten the fencing token.
+func (m *Machine) resolveTask(r *run) {
+	if m.hiddenFromEarlierLeaders(r) && !r.task.step.spec.Speculative {
+		r.task.unresolved = false
+	}
+}
+
 // resolveExpired resolves the workers whose leases have expired.
 func (m *Machine) resolveExpired() {
 	r := &m.recovery
--- a/pkg/sched/flow/recover_test.go
+++ b/pkg/sched/flow/recover_test.go
@@ -119,6 +119,34 @@
 	requireNoViolations(t, e)
 }
 
+// Guards against a task that waits for a silent worker although its run was in progress
+// under the new leader and ended there, so that no earlier leader can have started it
+// elsewhere.
+func TestTaskStartsAgainBesideASilentWorker(t *testing.T) {
+	e := emul.New(28)
+	e.AddWorkers(8, sched.Resources{CPU: 32000, Memory: 125 * gib})
+	e.AddQueue(sched.Queue{Name: "Q", MaxAttempts: 3})
+	l := e.Lead()
+	long := sched.StepSpec{Count: 1, Resources: sched.Resources{CPU: 2000, Memory: gib}, Perpetual: true}
+	e.Submit(&sched.Workflow{ID: "long", Queue: "Q", Steps: []sched.StepSpec{long}}, emul.Work{})
+	e.RunFor(time.Second)
+	l.Kill()
+	holder, silent := e.Workers[0], e.Workers[1]
+	if holder.Running() == 0 {
+		holder, silent = e.Workers[1], e.Workers[0]
+	}
+	require.Equal(t, 1, holder.Running())
+	silent.Crash(time.Minute)
+	e.RunFor(1500 * time.Millisecond)
+	e.Lead()
+	e.RunFor(2500 * time.Millisecond)
+	holder.Drain(time.Minute)
+	e.RunFor(1500 * time.Millisecond)
+	require.Zero(t, holder.Running())
+	require.Equal(t, 1, e.Running())
+	requireNoViolations(t, e)
+}
+
 // BenchmarkRecover measures what a new leader does for each live task when it
 // loads the stored jobs and their progress.
 func BenchmarkRecover(b *testing.B) {
--- a/pkg/sched/flow/renewal.go
+++ b/pkg/sched/flow/renewal.go
@@ -290,6 +290,7 @@
 
 func (m *Machine) applyEnd(w *worker, e sched.RunEnd) {
 	if r := w.runs[e.Run]; r != nil {
+		m.resolveTask(r)
 		m.close(r, e.How, e.Saved)
 		return
 	}
