--- a/pkg/sched/flow/job.go
+++ b/pkg/sched/flow/job.go
@@ -13,7 +13,7 @@
 	queue sched.QueueName
 	// acceptedAt is when the job was accepted, on the machine's clock.
 	acceptedAt time.Time
-	// inherited means that an earlier leader may have started its tasks.
+	// inherited means that an earlier leader may have started any of its tasks.
 	inherited bool
 
 	occurrences []*occurrence
@@ -115,11 +115,17 @@
 	// awayMillis is the same as Unix time in milliseconds.
 	awaySince  time.Time
 	awayMillis int64
-	// mayBeRunning means that an earlier leader may have started the task on a
-	// worker that has not answered yet.
-	mayBeRunning bool
+	// unresolved means that an earlier leader may have started the task on any of the
+	// recovery's holders. mayRunOn counts the unanswered workers on which an earlier
+	// leader, as it handed over, may have a run of the task.
+	unresolved bool
+	mayRunOn   int
 }
 
+// mayBeRunning reports whether an earlier leader may have started the task on a
+// worker that has not answered yet.
+func (t *task) mayBeRunning() bool { return t.unresolved || t.mayRunOn > 0 }
+
 func (t *task) job() *job { return t.step.occ.job }
 
 func (t *task) id() sched.RunTask {
