--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -30,6 +30,9 @@
 // task that an earlier leader may have started. If a worker does not answer,
 // such tasks wait until the leases granted by the earlier leader have expired.
 //
+// A leader that resigns hands over which workers may have which runs. The next
+// leader then waits for no other worker, and only with the tasks that are named.
+//
 // # Usage
 //
 //	m := flow.New(term, flow.WithLease(4*time.Second, 6*time.Second))
@@ -70,7 +73,11 @@
 	// added.
 	workers map[sched.WorkerName]*worker
 	order   []*worker
+	// unknownService is how many members the register last showed whose service the
+	// configuration does not name.
+	unknownService int
 
+	resignation    resignation
 	commits        commits
 	roster         roster
 	recovery       recovery
@@ -157,16 +164,20 @@
 // Update consumes one message at time now and returns the commands to execute,
 // in order.
 func (m *Machine) Update(now time.Time, msg sched.Msg) []sched.Cmd {
-	if m.lost {
+	if m.lost || m.resignation.done {
 		return nil
 	}
 	m.now, m.cmds, m.effort = now, nil, Effort{}
+	if m.resignation.began {
+		m.updateResigned(msg)
+		return m.cmds
+	}
 	// The process may have been paused since the last message, so that the
 	// permission or the knowledge of work and workers has expired without a tick.
 	m.updateMayIssueOrders()
 	m.updateKnowledge()
 	m.apply(msg)
-	if m.lost {
+	if m.lost || m.resignation.began {
 		return m.cmds
 	}
 	m.schedule()
@@ -213,6 +224,8 @@
 		m.handleCommitted(msg)
 	case CommitFailedMsg:
 		m.handleCommitFailed(msg)
+	case ResignMsg:
+		m.resign(msg)
 	}
 }
 
--- a/pkg/sched/flow/recoverylog.go
+++ b/pkg/sched/flow/recoverylog.go
@@ -49,7 +49,7 @@
 		return
 	}
 	l.loggedAt = m.now
-	m.log("takeover in progress", append([]any{"term", m.term, "unanswered", len(m.recovery.holders)}, m.recoveryAttrs()...)...)
+	m.log("takeover in progress", append([]any{"term", m.term, "unanswered", len(m.recovery.unanswered), "awaited", len(m.recovery.awaited)}, m.recoveryAttrs()...)...)
 }
 
 // recoveryAttrs returns the attributes that tell how long the recovery has taken,
@@ -66,8 +66,8 @@
 // the state in which they are.
 func (m *Machine) unansweredNames() string {
 	var names []string
-	for _, w := range m.order {
-		if !m.recovery.holders[w] {
+	for _, w := range m.recovery.awaited {
+		if !m.recovery.mayHaveRuns(w) {
 			continue
 		}
 		if len(names) == maxLoggedNames {
@@ -90,7 +90,7 @@
 	n := 0
 	for _, j := range m.live {
 		for _, t := range j.tasks() {
-			if t.phase == phaseQueued && t.mayBeRunning {
+			if t.phase == phaseQueued && t.mayBeRunning() {
 				n++
 			}
 		}
--- a/pkg/sched/flow/renewal.go
+++ b/pkg/sched/flow/renewal.go
@@ -61,11 +61,11 @@
 // maintainWorker renews a worker's leases if that is due. It also repeats stops
 // and ends the runs of a worker whose leases have expired.
 func (m *Machine) maintainWorker(w *worker) {
-	if !m.loaded {
+	if !m.loaded || m.resignation.began {
 		return
 	}
 	m.repeatStops(w)
-	if w.leasesExpired(m.now) && len(w.runs) > 0 {
+	if len(w.runs) > 0 && w.leasesExpired(m.now) && m.ledAt(w.leasesExpireAt) {
 		m.endExpiredRuns(w)
 	}
 	if w.renewal.inCall || m.now.Before(w.renewal.notBefore) || w.replaced {
@@ -182,7 +182,7 @@
 }
 
 // endExpiredRuns ends the runs of a worker whose latest deadline has certainly
-// passed.
+// passed before a newer leader could extend it.
 func (m *Machine) endExpiredRuns(w *worker) {
 	m.log("leases expired", "worker", w.name(), "runs", len(w.runs), "contact", w.sinceContact(m.now))
 	for _, r := range w.snapshot() {
@@ -235,15 +235,12 @@
 // applyReport applies a worker's report of its runs and run ends.
 func (m *Machine) applyReport(w *worker, msg RenewResultMsg) {
 	rep := &msg.Report
-	if rep.Born < w.member.Born {
-		m.maintainWorker(w) // A delayed answer of an earlier incarnation.
+	if !m.confirmIncarnation(w, rep.Born) {
+		w.renewal.notBefore = m.now.Add(renewRetry)
 		return
 	}
 	wasSuspected := w.suspected
 	m.noteAnswerTime(w, m.now.Sub(msg.Sent))
-	if rep.Born > w.member.Born {
-		m.newIncarnation(w, rep.Born, "report")
-	}
 	w.recordClock(msg.Sent, m.now, rep.Clock)
 	if wasSuspected {
 		m.log("worker answers again", "worker", w.name(), "runs", len(w.runs))
@@ -291,6 +288,7 @@
 
 func (m *Machine) applyEnd(w *worker, e sched.RunEnd) {
 	if r := w.runs[e.Run]; r != nil {
+		m.resolveTask(r)
 		m.close(r, e.How, e.Saved)
 		return
 	}
--- a/pkg/sched/flow/waits.go
+++ b/pkg/sched/flow/waits.go
@@ -74,7 +74,7 @@
 	capacity := m.currentCapacity()
 	out := []any{
 		"id", j.spec.ID, "task", t.name(), "waited", m.now.Sub(t.queuedAt), "reason", t.step.blocked,
-		"held", t.mayBeRunning && m.recovery.active, "perpetual", t.step.spec.Perpetual, "need", t.step.spec.Need(),
+		"held", t.mayBeRunning(), "perpetual", t.step.spec.Perpetual, "need", t.step.spec.Need(),
 		"free", capacity.free, "total", capacity.total,
 	}
 	counts := m.countUnsuitable(t, m.fleet.Queues[j.queue])
