Hand over how long tasks have waited, and their checkpoints

With each leader the wait of a task for a worker began again. After such a wait a task may start on more workers: a perpetual task in the reserve for short tasks (1.5 s), a best-effort task beside latency-critical ones (2 to 10 s), a task away from its data (2 s). Leaders in turn never let these times pass. The checkpoint of a stopped run was lost, too: the end does not change the progress of its job, so it was acknowledged and not recorded.

The handover lists the tasks that wait, with the time and the checkpoint, and leaves them out if it would be larger than the store accepts. Steps that depend on no other count as ready since their job or occurrence is due, also for the next leader.

TestWaitingTasksAreHandedOver fails without it (go test ./pkg/sched/flow -run TestWaitingTasksAreHandedOver, both subtests). TestHandoverHasBoundedSize fails if the record is not made smaller.

--- a/pkg/sched/flow/accept.go
+++ b/pkg/sched/flow/accept.go
@@ -115,6 +115,9 @@
 // openStep queues the tasks of a step that depends on no unfinished step.
 func (m *Machine) openStep(s *step) {
 	s.readyAt = m.now
+	if len(s.spec.After) == 0 {
+		s.readyAt = s.occ.due
+	}
 	for _, t := range s.tasks {
 		if t.phase == phaseWaiting {
 			m.enqueue(t)
--- a/pkg/sched/flow/fuzz_test.go
+++ b/pkg/sched/flow/fuzz_test.go
@@ -56,3 +56,24 @@
 		l.update(sched.TickMsg{})
 	})
 }
+
+// Guards against a stored handover that makes the next leader panic.
+func FuzzHandover(f *testing.F) {
+	l := newSteered(1, begin, one).takeOver(nil)
+	l.update(oneTask("runs", l.now, false))
+	waits := oneTask("waits", l.now, false)
+	waits.Job.Steps[0].Requires = "none"
+	l.update(waits)
+	l.pass(time.Second)
+	l.update(flow.ResignMsg{Skipped: []sched.JobID{"skipped"}})
+	if len(l.handovers) != 1 {
+		f.Fatal("no handover")
+	}
+	f.Add(l.handovers[0].Value)
+	f.Fuzz(func(_ *testing.T, record []byte) {
+		n := newSteered(2, begin, two, "w")
+		n.takeOver(record, "runs", "waits", "skipped")
+		n.pass(leaseTime)
+		n.update(flow.ResignMsg{})
+	})
+}
--- a/pkg/sched/flow/handover.go
+++ b/pkg/sched/flow/handover.go
@@ -25,24 +25,36 @@
 // handoverWorker is a worker that may have runs. A holder may have any of the
 // unresolved tasks.
 type handoverWorker struct {
-	_      struct{} `cbor:",toarray"`
-	Name   sched.WorkerName
-	Holder bool
+	Name   sched.WorkerName `cbor:"1,keyasint"`
+	Holder bool             `cbor:"2,keyasint,omitempty"`
 	// Left is how long the leases last, counted from when the record was made, or
 	// unknownLeft.
-	Left time.Duration
+	Left time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // unknownLeft means that the leases on a holder may be renewed by an earlier leader.
 const unknownLeft time.Duration = -1
 
 // handoverJob is a job with tasks that may be running. Unresolved means that each of
-// its tasks may be running on any holder.
+// its tasks may be running on any holder. Waiting lists tasks without a run.
 type handoverJob struct {
-	_          struct{} `cbor:",toarray"`
-	ID         sched.JobID
-	Unresolved bool
-	Tasks      []handoverTask
+	ID         sched.JobID           `cbor:"1,keyasint"`
+	Unresolved bool                  `cbor:"2,keyasint,omitempty"`
+	Tasks      []handoverTask        `cbor:"3,keyasint,omitempty"`
+	Waiting    []handoverWaitingTask `cbor:"4,keyasint,omitempty"`
+}
+
+// handoverWaitingTask is a task that has waited for a worker for some time, and the
+// checkpoint that it resumes from.
+type handoverWaitingTask struct {
+	_                       struct{} `cbor:",toarray"`
+	Occurrence, Step, Index int
+	Waited                  time.Duration
+	Checkpoint              string
+}
+
+func (t handoverWaitingTask) id(job sched.JobID) sched.RunTask {
+	return sched.RunTask{Job: job, Occurrence: t.Occurrence, Step: t.Step, Index: t.Index}
 }
 
 // handoverTask is a task that may be running on a worker, which is given by its
@@ -67,6 +79,14 @@
 	return b
 }
 
+// dropWaiting makes the record smaller. The next leader does not depend on what it
+// drops.
+func (h *handover) dropWaiting() {
+	for i := range h.Jobs {
+		h.Jobs[i].Waiting = nil
+	}
+}
+
 // decodeHandover reads and checks the stored form.
 func decodeHandover(b []byte) (*handover, error) {
 	var h handover
--- a/pkg/sched/flow/handover_test.go
+++ b/pkg/sched/flow/handover_test.go
@@ -338,3 +338,65 @@
 	require.Len(t, l.handovers, 1)
 	require.Empty(t, l.handovers[0].Value)
 }
+
+// Guards against tasks whose wait for a worker, after which they may start on more
+// workers, begins again with each leader, and against a checkpoint that is lost because
+// its end was acknowledged.
+func TestWaitingTasksAreHandedOver(t *testing.T) {
+	t.Run("time", func(t *testing.T) {
+		waits := oneTask("waits", begin, false)
+		waits.Job.Steps[0].Affinity = "r9"
+		waits.Job.Steps[0].Estimate = time.Second
+		lead := func(term uint64, now time.Time) *steered {
+			s := newSteered(term, now, two)
+			s.members[0].Labels = []string{"kind", "r9"}
+			s.members[0].Capacity.CPU = 100
+			s.update(flow.MembersMsg{Members: s.members})
+			return s
+		}
+		l := lead(1, begin).takeOver(nil)
+		l.update(waits)
+		l.pass(1500 * time.Millisecond)
+		l.requireStarted(t)
+		n := lead(2, l.now)
+		waits.Inherited = true
+		n.update(waits)
+		n.takeOver(l.resign(t))
+		n.pass(500 * time.Millisecond)
+		n.requireStarted(t, "waits")
+	})
+	t.Run("checkpoint", func(t *testing.T) {
+		saves := oneTask("saves", begin, false)
+		saves.Job.Steps[0].Checkpoint = true
+		l := newSteered(1, begin, one).takeOver(nil)
+		l.update(saves)
+		l.pass(100 * time.Millisecond)
+		l.requireStarted(t, "saves")
+		drains := l.members[0]
+		drains.Draining = true
+		l.update(flow.MembersMsg{Members: []sched.Member{drains}})
+		l.reports["w"] = sched.RenewReport{Ended: []sched.RunEnd{{Seq: 1, Run: l.starts[0].Order.Run, How: sched.EndStopped, Saved: "s1"}}}
+		l.pass(3 * time.Second)
+		require.Zero(t, l.m.Totals().Runs)
+		n := newSteered(2, l.now, two, "w")
+		saves.Inherited = true
+		n.update(saves)
+		n.takeOver(l.resign(t))
+		n.requireStarted(t, "saves")
+		require.Equal(t, "s1", n.starts[0].Order.Saved)
+	})
+}
+
+// Guards against a record that the store does not accept because many tasks wait.
+func TestHandoverHasBoundedSize(t *testing.T) {
+	l := newSteered(1, begin, one).takeOver(nil)
+	l.run(t, "runs")
+	many := oneTask("many", l.now, false)
+	many.Job.Steps[0].Count, many.Job.Steps[0].Requires = 60_000, "none"
+	l.update(many)
+	l.pass(time.Second)
+	record := l.resign(t)
+	require.Less(t, len(record), 1<<20)
+	n := newSteered(2, l.now, two, "w").takeOver(record, "runs", "waits")
+	n.requireStarted(t, "waits")
+}
--- a/pkg/sched/flow/inherit.go
+++ b/pkg/sched/flow/inherit.go
@@ -26,7 +26,11 @@
 		j.setUnresolved(false)
 	}
 	for _, x := range h.Jobs {
+		if m.jobs[x.ID] == nil {
+			continue
+		}
 		m.restoreHandoverJob(x, workers)
+		m.restoreWaiting(x, began)
 	}
 }
 
@@ -58,12 +62,8 @@
 
 // restoreHandoverJob applies what the record says of a job.
 func (m *Machine) restoreHandoverJob(x handoverJob, workers []*worker) {
-	j := m.jobs[x.ID]
-	if j == nil {
-		return
-	}
 	if x.Unresolved {
-		j.setUnresolved(true)
+		m.jobs[x.ID].setUnresolved(true)
 	}
 	for _, y := range x.Tasks {
 		t := m.task(y.id(x.ID))
@@ -79,6 +79,21 @@
 	}
 }
 
+// restoreWaiting restores since when tasks wait for a worker, and from which checkpoint
+// they resume.
+func (m *Machine) restoreWaiting(x handoverJob, began time.Time) {
+	for _, y := range x.Waiting {
+		t := m.task(y.id(x.ID))
+		if t == nil || t.phase != phaseQueued {
+			continue
+		}
+		t.queuedAt = began.Add(-min(max(y.Waited, 0), m.now.Sub(t.job().acceptedAt)))
+		if t.step.spec.Checkpoint && y.Checkpoint != "" {
+			t.checkpoint = y.Checkpoint
+		}
+	}
+}
+
 // setUnresolved sets whether an earlier leader may have started any of the job's tasks
 // on any holder.
 func (j *job) setUnresolved(unresolved bool) {
--- a/pkg/sched/flow/resign.go
+++ b/pkg/sched/flow/resign.go
@@ -61,6 +61,10 @@
 	b := h.encode()
 	m.log("runs handed over", "term", m.term, "workers", len(h.Workers), "jobs", len(h.Jobs), "earlierLeader", h.EarlierLeader,
 		"uncommitted", len(m.commits.changed), "bytes", len(b), "took", m.now.Sub(m.resignation.at))
+	if len(b) > maxHandoverSize {
+		h.dropWaiting()
+		b = h.encode()
+	}
 	if len(b) > maxHandoverSize {
 		b = nil
 	}
@@ -95,6 +99,7 @@
 	}
 	for _, j := range m.live {
 		b.addUnresolved(j)
+		b.addWaiting(j)
 	}
 	b.addUnrecorded()
 	return b.record
@@ -133,6 +138,20 @@
 	}
 }
 
+// addWaiting adds the tasks of a job that wait for a worker.
+func (b *handoverBuilder) addWaiting(j *job) {
+	for _, t := range j.tasks() {
+		waited := b.m.now.Sub(t.queuedAt)
+		if t.phase != phaseQueued || waited <= 0 && t.checkpoint == "" {
+			continue
+		}
+		x := b.job(j.spec.ID)
+		x.Waiting = append(x.Waiting, handoverWaitingTask{
+			Occurrence: t.step.occ.index, Step: t.step.index, Index: t.index, Waited: waited, Checkpoint: t.checkpoint,
+		})
+	}
+}
+
 // addUnrecorded adds the jobs of which the store does not show what this machine knows,
 // and the skipped ones. A worker lists an end again whose effect is not durable. Runs of
 // a skipped job may be on any worker.
