Refuse impossible records in the list of entries

Cause: a record in the list of entries was decoded and not checked. With an infinite processor time, or one of 1e300 cores, all other entries took themselves for weak and waited 2 s longer after each change of the leader. A record without an address, with port 0 or under another entry's name became a peer that was called in vain. Damaged records were logged at each read, every 2.5 s by each entry.

Change: layout.DecodeEntry checks name, address and processor time, for the daemon and the election. logger.Once remembers which keys were logged, 100 at most; the client of the instance list uses it, too. The fake entries of the leader's tests have an address now, as real ones do.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"github.com/mangoslip/mangoslip/internal/jobs"
 	"github.com/mangoslip/mangoslip/internal/layout"
 	"github.com/mangoslip/mangoslip/internal/leader"
+	"github.com/mangoslip/mangoslip/internal/logger"
 	"github.com/mangoslip/mangoslip/internal/orders"
 	"github.com/mangoslip/mangoslip/internal/relay"
 	"github.com/mangoslip/mangoslip/internal/stats"
@@ -81,6 +82,8 @@
 	dispatchClient *orders.Client
 	dispatcher     *orders.Dispatcher
 	peers          peers
+	// damagedEntries holds the keys of entries that were logged as damaged.
+	damagedEntries logger.Once
 
 	t        tomb.Tomb
 	servers  []*http.Server
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -217,9 +217,11 @@
 	}
 	var list []layout.Entry
 	for _, i := range items {
-		var x layout.Entry
-		if err := layout.Decode(i.Value, &x); err != nil {
-			e.log.Warn("entry's key is damaged", "key", i.Key, "error", err)
+		x, err := layout.DecodeEntry(i.Key, i.Value)
+		if err != nil {
+			if e.damagedEntries.First(i.Key) {
+				e.log.Warn("entry's key is damaged", "key", i.Key, "error", err)
+			}
 			continue
 		}
 		list = append(list, x)
--- a/internal/fleet/decode.go
+++ b/internal/fleet/decode.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net/netip"
 	"strings"
-	"sync"
 
 	"github.com/mangoslip/mangoslip/pkg/sched"
 )
@@ -17,33 +16,10 @@
 	// worker.
 	maxTextBytes = 200
 	maxServices  = 1024
-	// maxLoggedInvalid bounds the rows that are logged as invalid, and maxErrorBytes
-	// what is logged of the error of one.
-	maxLoggedInvalid = 100
-	maxErrorBytes    = 200
+	// maxErrorBytes bounds what is logged of the error of a row.
+	maxErrorBytes = 200
 )
 
-// invalidNames remembers the invalid rows that were logged. It is safe for concurrent
-// use.
-type invalidNames struct {
-	mu     sync.Mutex
-	logged map[string]bool
-}
-
-// add reports whether a row has to be logged.
-func (n *invalidNames) add(name string) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.logged == nil {
-		n.logged = map[string]bool{}
-	}
-	if n.logged[name] || len(n.logged) >= maxLoggedInvalid {
-		return false
-	}
-	n.logged[name] = true
-	return true
-}
-
 // decodeList decodes the instance list. A row that does not describe an instance is
 // logged once and left out, so that it does not hide the others.
 func (c *Client) decodeList(body []byte) ([]sched.Instance, error) {
@@ -58,7 +34,7 @@
 			list = append(list, in)
 			continue
 		}
-		if name := cut(in.Name, maxTextBytes); c.invalid.add(name) {
+		if name := cut(in.Name, maxTextBytes); c.invalid.First(name) {
 			c.log.Warn("row of the instance list is invalid", "name", name, "bytes", len(row), "error", cut(err.Error(), maxErrorBytes))
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/mangoslip/mangoslip/internal/logger"
 	"github.com/mangoslip/mangoslip/internal/wire"
 	"github.com/mangoslip/mangoslip/pkg/sched"
 )
@@ -38,7 +39,8 @@
 	wire    *wire.Transport
 	timeout time.Duration
 	log     *slog.Logger
-	invalid invalidNames
+	// invalid holds the invalid rows that were logged.
+	invalid logger.Once
 }
 
 var _ sched.InstanceList = (*Client)(nil)
--- a/internal/layout/layout.go
+++ b/internal/layout/layout.go
@@ -24,6 +24,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"strings"
 
@@ -116,5 +117,28 @@
 
 var errNoWorkflow = errors.New("job has no workflow")
 
+// maxProcessors bounds the processor time of an entry, in cores.
+const maxProcessors = 1 << 20
+
+// DecodeEntry reads and checks the stored form of an entry at its key. An entry that
+// others could not call, or could not compare themselves with, is an error.
+func DecodeEntry(key string, b []byte) (Entry, error) {
+	var e Entry
+	if err := Decode(b, &e); err != nil {
+		return Entry{}, err
+	}
+	switch {
+	case e.Name == "" || key != EntryPrefix+string(e.Name):
+		return Entry{}, errOtherEntry
+	case !e.Addr.IsValid() || e.Addr.Port() == 0 || e.Addr.Addr().IsUnspecified():
+		return Entry{}, fmt.Errorf("no entry can listen on %s", e.Addr)
+	case math.IsNaN(e.Processors) || e.Processors < 0 || e.Processors > maxProcessors:
+		return Entry{}, fmt.Errorf("impossible processor time of %g cores", e.Processors)
+	}
+	return e, nil
+}
+
+var errOtherEntry = errors.New("the record is that of another entry")
+
 // Decode reads the stored form of a value.
 func Decode(b []byte, v any) error { return cbor.Unmarshal(b, v) }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -27,6 +27,7 @@
 
 	"github.com/mangoslip/mangoslip/internal/clock"
 	"github.com/mangoslip/mangoslip/internal/layout"
+	"github.com/mangoslip/mangoslip/internal/logger"
 	"github.com/mangoslip/mangoslip/internal/stats"
 	"github.com/mangoslip/mangoslip/pkg/sched"
 	"github.com/mangoslip/mangoslip/pkg/sched/flow"
@@ -109,6 +110,8 @@
 	// leaderLearned holds a value if a newer leader was learned of since it was last
 	// emptied.
 	leaderLearned chan struct{}
+	// damagedEntries holds the keys of entries that were logged as damaged.
+	damagedEntries logger.Once
 
 	mu          sync.Mutex
 	knownLeader layout.Leader
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -245,7 +245,9 @@
 // addEntryWith starts an entry with some processor time, in cores.
 func (c *cluster) addEntryWith(name string, processors float64) *entry {
 	client := c.store.Client()
-	c.store.Put(layout.EntryPrefix+name, layout.Encode(layout.Entry{Name: sched.EntryName(name), Processors: processors}))
+	c.store.Put(layout.EntryPrefix+name, layout.Encode(layout.Entry{
+		Name: sched.EntryName(name), Addr: netip.MustParseAddrPort("127.0.0.1:1"), Processors: processors,
+	}))
 	l := leader.New(leader.Settings{
 		Name: sched.EntryName(name), Processors: processors, MembersPrefix: membersPrefix, DecodeMembers: c.decodeMembers,
 		MachineOptions: []flow.Option{flow.WithWallClock(c.wallMillis)},
--- a/internal/leader/turn.go
+++ b/internal/leader/turn.go
@@ -121,9 +121,11 @@
 	}
 	var out []registered
 	for _, i := range items {
-		var e layout.Entry
-		if err := layout.Decode(i.Value, &e); err != nil {
-			l.log.Warn("entry's key is damaged", "key", i.Key, "error", err)
+		e, err := layout.DecodeEntry(i.Key, i.Value)
+		if err != nil {
+			if l.damagedEntries.First(i.Key) {
+				l.log.Warn("entry's key is damaged", "key", i.Key, "error", err)
+			}
 			continue
 		}
 		out = append(out, registered{e, i.Version})
--- a/internal/leader/turn_test.go
+++ b/internal/leader/turn_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"math"
+	"net/netip"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -128,3 +130,26 @@
 		require.Empty(t, c.leading())
 	})
 }
+
+// Guards against entries that all wait as weak ones because a record in the list claims
+// more processor time than any machine has.
+func TestImpossibleEntryDelaysNoCampaign(t *testing.T) {
+	for name, processors := range map[string]float64{"infinite": math.Inf(1), "too large": 1e300, "no number": math.NaN()} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 0, time.Second)
+				defer c.stopAll()
+				first := c.addEntry("a")
+				time.Sleep(time.Second)
+				c.addEntry("b")
+				c.store.Put(layout.EntryPrefix+"odd", layout.Encode(layout.Entry{
+					Name: "odd", Addr: netip.MustParseAddrPort("127.0.0.1:1"), Processors: processors,
+				}))
+				time.Sleep(time.Second)
+				first.Resign(t.Context())
+				time.Sleep(250 * time.Millisecond)
+				c.requireLeader("b")
+			})
+		})
+	}
+}
