--- a/internal/leader/elect.go
+++ b/internal/leader/elect.go
@@ -4,14 +4,19 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"time"
 
 	"github.com/mangoslip/mangoslip/internal/layout"
 	"github.com/mangoslip/mangoslip/pkg/sched"
 )
 
 // campaignInput is what an entry reads from the store before it campaigns.
-// lastTerm is the zero item if there has been no term yet.
-type campaignInput struct{ lastTerm sched.Item }
+// lastTerm is the zero item if there has been no term yet. vacantSince is when this
+// entry noticed that no entry leads.
+type campaignInput struct {
+	lastTerm    sched.Item
+	vacantSince time.Time
+}
 
 // term decodes the last term. It returns the zero term if there has been none yet.
 func (in campaignInput) term() (last layout.Term, err error) {
@@ -26,6 +31,7 @@
 func (l *Leader) follow(ctx context.Context) (campaignInput, bool) {
 	outage := false
 	retry := newStoreBackoff()
+	vacantSince := l.now()
 	for ctx.Err() == nil {
 		// Range also returns the version of the store, from which a watch can
 		// start. The version of the item may be older than the history that the
@@ -34,12 +40,13 @@
 		if err == nil && len(items) == 0 {
 			term, err := l.store.Get(ctx, layout.TermKey)
 			if err == nil || errors.Is(err, sched.ErrNotFound) {
-				return campaignInput{term}, outage
+				return campaignInput{term, vacantSince}, outage
 			}
 		}
 		if err == nil && len(items) > 0 {
 			retry.Reset()
 			outage = l.watchLeader(ctx, items[0], version)
+			vacantSince = l.now()
 			continue
 		}
 		if !outage && ctx.Err() == nil {
@@ -96,6 +103,7 @@
 	if err != nil {
 		return nil, err
 	}
+	began := l.now()
 	lease, ttl, err := l.store.Grant(ctx, l.ttl)
 	if err != nil {
 		return nil, err
@@ -117,7 +125,8 @@
 	if err != nil {
 		return nil, err
 	}
-	l.log.Info("term begins", "term", next.Number, "version", version, "ttl", ttl, "previous", last.Name)
+	l.log.Info("term begins", "term", next.Number, "version", version, "ttl", ttl, "previous", last.Name,
+		"vacant", l.now().Sub(in.vacantSince), "took", l.now().Sub(began))
 	t := newTerm(ctx, l, next, version, lease)
 	l.mu.Lock()
 	l.term, l.knownLeader = t, me
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -1,7 +1,6 @@
 package leader
 
 import (
-	"context"
 	"errors"
 	"time"
 
@@ -68,9 +67,7 @@
 // recordWorkRead records that all jobs and cancellations up to asked were
 // delivered.
 func (t *term) recordWorkRead(asked time.Time) {
-	t.mu.Lock()
-	t.workReadAt = asked
-	t.mu.Unlock()
+	t.contact.workRead(asked)
 	t.post(flow.WorkReadMsg{Asked: asked})
 }
 
@@ -121,6 +118,9 @@
 	if err != nil {
 		t.l.stats.Count("DamagedRecords", 1)
 		t.l.log.Error("stored job is not run", "id", id, "version", c.Version, "error", err)
+		t.mu.Lock()
+		t.skipped[id] = true
+		t.mu.Unlock()
 		return
 	}
 	t.post(flow.JobMsg{
@@ -194,8 +194,8 @@
 	members, invalid := t.l.DecodeMembers(r.items)
 	t.mu.Lock()
 	t.logInvalid(invalid)
-	t.registerReadAt = r.asked
 	t.mu.Unlock()
+	t.contact.registerRead(r.asked)
 	t.post(flow.MembersMsg{Members: members, Asked: r.asked})
 }
 
@@ -231,19 +231,23 @@
 	}
 }
 
-// maintainLease renews the leader's lease at intervals, and reads the term when
-// its last confirmation is too old.
+// maintainLease renews the leader's lease at intervals. It never waits for the state
+// machine.
 func (t *term) maintainLease() {
 	for t.ctx.Err() == nil {
 		pause(t.ctx, renewInterval)
 		t.renewLease()
-		t.mu.Lock()
-		age := t.l.now().Sub(t.confirmedAt)
-		t.mu.Unlock()
 		if t.resignIfUnread() {
 			return
 		}
-		if age > maxConfirmationAge {
+	}
+}
+
+// confirm reads the term when its last confirmation is too old.
+func (t *term) confirm() {
+	for t.ctx.Err() == nil {
+		pause(t.ctx, renewInterval)
+		if t.l.now().Sub(t.contact.confirmed(time.Time{})) > maxConfirmationAge {
 			t.confirmTerm()
 		}
 	}
@@ -251,9 +255,8 @@
 
 // workAge returns the age of the last complete read of the jobs and cancellations.
 func (t *term) workAge() time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.l.now().Sub(t.workReadAt)
+	work, _ := t.contact.reads()
+	return t.l.now().Sub(work)
 }
 
 // checkPeerContact asks other entries about the store while this entry has not read
@@ -288,7 +291,7 @@
 	defer func() { t.lease <- lease }()
 	asked := t.l.now()
 	err := t.l.store.Renew(t.ctx, lease)
-	t.recordRenewal(asked, err == nil)
+	t.contact.renewed(asked, err == nil, t.l.ttl)
 	if !errors.Is(err, sched.ErrNoLease) {
 		return // The next renewal follows soon, and other calls confirm the term.
 	}
@@ -324,31 +327,3 @@
 		t.recordConfirmation(asked)
 	}
 }
-
-// resignFlushTimeout bounds the wait for pending records before a leader
-// resigns.
-const resignFlushTimeout = 400 * time.Millisecond
-
-// resign ends the term voluntarily. It waits for pending records to become
-// durable and then removes the leader's key, so that another entry can lead at
-// once.
-func (t *term) resign(ctx context.Context, why string) {
-	deadline := time.Now().Add(resignFlushTimeout)
-	for time.Now().Before(deadline) {
-		t.mu.Lock()
-		waiting := t.machine.Totals().Uncommitted
-		t.mu.Unlock()
-		if waiting == 0 {
-			break
-		}
-		pause(ctx, 20*time.Millisecond)
-	}
-	t.end(why)
-	select {
-	case lease := <-t.lease:
-		if err := t.l.store.Revoke(ctx, lease); err != nil {
-			t.l.log.Warn("leader's lease not revoked", "term", t.number, "error", err)
-		}
-	case <-ctx.Done():
-	}
-}
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/mangoslip/mangoslip/internal/guard"
@@ -33,6 +34,7 @@
 	orderSlots chan struct{}
 	// timeouts determines the timeouts of the orders.
 	timeouts answerTimeout
+	contact  contact
 
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -42,21 +44,20 @@
 	machine *flow.Machine
 	// broken means that the machine has panicked.
 	broken bool
-	// confirmedAt is the start of the most recent call to the store that showed
-	// the term to be the newest.
-	confirmedAt time.Time
-	// workReadAt is the start of the most recent call to the store that completed
-	// the jobs and cancellations that the state machine knows, registerReadAt that
-	// of the most recent read of the register of workers.
-	workReadAt, registerReadAt time.Time
-	// renewedSince is since when each renewal of the leader's lease has succeeded,
-	// zero if the last one failed. renewedAt is when the last one was sent.
-	renewedSince, renewedAt time.Time
+	// updates adds up the recent updates, and waiting counts the messages that wait
+	// for the lock or are being delivered.
+	updates updateTotals
+	waiting atomic.Int64
 	// loggedInvalid holds the keys of the register of workers that have been
 	// logged as invalid.
 	loggedInvalid map[string]bool
+	// skipped holds the jobs that were not delivered to the machine.
+	skipped map[sched.JobID]bool
 	// loaded is guarded by l.mu.
 	loaded bool
+	// handedOver is closed when the machine has resigned and what it knows of runs
+	// has been written, or could not be.
+	handedOver chan struct{}
 }
 
 // errTermOver is the cause with which the context of a term is cancelled.
@@ -67,8 +68,8 @@
 ) *term {
 	x := &term{
 		l: l, number: t.Number, version: version, lease: make(chan sched.LeaseID, 1), started: l.now(),
-		confirmedAt: l.now(), loggedInvalid: map[string]bool{},
-		orderSlots: make(chan struct{}, maxDirectOrders),
+		contact: contact{confirmedAt: l.now()}, loggedInvalid: map[string]bool{},
+		orderSlots: make(chan struct{}, maxDirectOrders), skipped: map[sched.JobID]bool{}, handedOver: make(chan struct{}),
 	}
 	x.lease <- lease
 	x.ctx, x.cancel = context.WithCancelCause(ctx)
@@ -78,7 +79,7 @@
 		x.orderSlots = make(chan struct{}, maxDispatchedOrders)
 	}
 	wall := flow.WithWallClock(func(time.Time) int64 { return time.Now().UnixMilli() })
-	x.machine = flow.New(t.Number, append([]flow.Option{wall}, l.MachineOptions...)...)
+	x.machine = flow.New(t.Number, append([]flow.Option{wall, flow.WithStopwatch(time.Now)}, l.MachineOptions...)...)
 	return x
 }
 
@@ -92,6 +93,7 @@
 		t.spawn("watch work", func() { t.watchWork(after) })
 		t.spawn("read workers", t.pollMembers)
 		t.spawn("maintain lease", t.maintainLease)
+		t.spawn("confirm term", t.confirm)
 		t.spawn("tick", t.tick)
 		t.spawn("check peers' contact", t.checkPeerContact)
 		t.spawn("transfer leadership", t.transferToStronger)
@@ -120,84 +122,6 @@
 	t.cancel(errTermOver)
 }
 
-// load reads the stored state and delivers it to the state machine, which then
-// asks the workers for their runs. It returns the version of the store from which
-// to watch for further work.
-func (t *term) load() (sched.Version, error) {
-	t.spawn("renew lease", t.renewWhileLoading)
-	storedProgress, err := t.rangeWithRetry(layout.Root + flow.KeyProgress)
-	if err != nil {
-		return 0, err
-	}
-	rosterItems, err := t.rangeWithRetry(layout.Root + flow.KeyRoster)
-	if err != nil {
-		return 0, err
-	}
-	estimates, err := t.rangeWithRetry(layout.Root + flow.KeyInterference)
-	if err != nil {
-		return 0, err
-	}
-	members, err := t.rangeWithRetry(t.l.MembersPrefix)
-	if err != nil {
-		return 0, err
-	}
-	// The work comes last, so that cancellations are not older than necessary when
-	// tasks are started. No earlier leader can change the progress any more.
-	work, err := t.rangeWithRetry(layout.WorkPrefix)
-	if err != nil {
-		return 0, err
-	}
-	progress := storedProgress.byKey()
-	t.post(flow.ConfirmedMsg{Asked: t.confirmedAt})
-	t.l.mu.Lock()
-	fleet := t.l.fleet
-	t.l.mu.Unlock()
-	t.post(flow.ConfigMsg{Fleet: fleet})
-	t.postMembers(members)
-	for _, i := range work.items {
-		t.postWork(sched.Change{Item: i}, progress)
-	}
-	t.recordWorkRead(work.asked)
-	takeover := flow.TakeoverMsg{}
-	for _, i := range estimates.items {
-		if i.Key == layout.Root+flow.KeyInterference {
-			takeover.Interference, takeover.InterferenceVersion = i.Value, i.Version
-		}
-	}
-	for _, i := range rosterItems.items {
-		if i.Key != layout.Root+flow.KeyRoster {
-			continue
-		}
-		takeover.Version = i.Version
-		if takeover.Roster, err = flow.DecodeRoster(i.Value); err != nil {
-			t.l.log.Error("roster is damaged", "version", i.Version, "error", err)
-		}
-	}
-	t.post(takeover)
-	t.l.log.Info("state loaded", "term", t.number, "items", len(work.items), "progress", len(storedProgress.items),
-		"members", len(members.items), "roster", len(takeover.Roster), "took", t.l.now().Sub(t.started))
-	t.l.mu.Lock()
-	t.loaded = true
-	t.l.mu.Unlock()
-	return work.version, nil
-}
-
-// rangeWithRetry reads the items under a prefix, and retries until this succeeds
-// or the term ends.
-func (t *term) rangeWithRetry(prefix string) (reading, error) {
-	for {
-		r, err := t.read(prefix)
-		if err == nil {
-			return r, nil
-		}
-		t.l.log.Warn("state not loaded", "term", t.number, "prefix", prefix, "error", err)
-		pause(t.ctx, retryPause)
-		if t.ctx.Err() != nil {
-			return reading{}, context.Cause(t.ctx)
-		}
-	}
-}
-
 // post delivers a message to the state machine and executes the commands that it
 // returns.
 func (t *term) post(msg sched.Msg) {
@@ -216,8 +140,12 @@
 // update delivers a message to the state machine. After a panic the state may be
 // inconsistent, so the machine gets no further message.
 func (t *term) update(msg sched.Msg) (cmds []sched.Cmd, err error) {
+	m := t.measure(msg)
+	defer m.log()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	m.begin()
+	defer m.end()
 	if t.broken {
 		return nil, nil
 	}
@@ -267,6 +195,8 @@
 	case flow.CommitCmd:
 		t.l.stats.Count("Commits", 1)
 		t.effect("commit", func() { t.commit(cmd) })
+	case flow.HandoverCmd:
+		t.effect("hand over", func() { t.handOver(cmd) })
 	case flow.LostCmd:
 		t.end(cmd.Why)
 	}
@@ -307,11 +237,5 @@
 // recordConfirmation records that the store showed the term to be the newest, in
 // answer to a call that began at asked.
 func (t *term) recordConfirmation(asked time.Time) {
-	t.mu.Lock()
-	if asked.After(t.confirmedAt) {
-		t.confirmedAt = asked
-	}
-	asked = t.confirmedAt
-	t.mu.Unlock()
-	t.post(flow.ConfirmedMsg{Asked: asked})
+	t.post(flow.ConfirmedMsg{Asked: t.contact.confirmed(asked)})
 }
--- a/pkg/sched/flow/renewal.go
+++ b/pkg/sched/flow/renewal.go
@@ -61,11 +61,11 @@
 // maintainWorker renews a worker's leases if that is due. It also repeats stops
 // and ends the runs of a worker whose leases have expired.
 func (m *Machine) maintainWorker(w *worker) {
-	if !m.loaded {
+	if !m.loaded || m.resignation.began {
 		return
 	}
 	m.repeatStops(w)
-	if w.leasesExpired(m.now) && len(w.runs) > 0 {
+	if len(w.runs) > 0 && w.leasesExpired(m.now) && m.ledAt(w.leasesExpireAt) {
 		m.endExpiredRuns(w)
 	}
 	if w.renewal.inCall || m.now.Before(w.renewal.notBefore) || w.replaced {
@@ -182,7 +182,7 @@
 }
 
 // endExpiredRuns ends the runs of a worker whose latest deadline has certainly
-// passed.
+// passed before a newer leader could extend it.
 func (m *Machine) endExpiredRuns(w *worker) {
 	m.log("leases expired", "worker", w.name(), "runs", len(w.runs), "contact", w.sinceContact(m.now))
 	for _, r := range w.snapshot() {
@@ -248,7 +248,7 @@
 	}
 	w.renewal.continuous = true
 	w.acknowledged = max(w.acknowledged, w.renewal.seen)
-	w.renewal.more = len(rep.Ended) >= maxEndsPerReport
+	w.renewal.more, w.reportedRuns = len(rep.Ended) >= maxEndsPerReport, len(rep.Running)
 	first := !w.answered
 	m.applyEnds(w, rep.Ended)
 	m.applyRunReports(w, msg.Sent, rep)
@@ -260,6 +260,7 @@
 	if first && !w.renewal.more {
 		w.answered, w.answeredAt = true, m.now
 		m.recovery.answered(w)
+		m.noteAnswer(w)
 		m.endRecovery()
 		m.stale = true
 	}
@@ -287,6 +288,7 @@
 
 func (m *Machine) applyEnd(w *worker, e sched.RunEnd) {
 	if r := w.runs[e.Run]; r != nil {
+		m.resolveTask(r)
 		m.close(r, e.How, e.Saved)
 		return
 	}
@@ -295,6 +297,7 @@
 		return
 	}
 	m.log("end of an untracked run", "id", t.job().spec.ID, "task", t.name(), "run", e.Run.Number, "worker", w.name(), "how", e.How)
+	m.noteAway(t)
 	m.taskEnded(t, w, e.Run.Number, e.How, e.Saved)
 }
 
--- a/pkg/sched/flow/schedule.go
+++ b/pkg/sched/flow/schedule.go
@@ -24,9 +24,16 @@
 		return
 	}
 	m.stale, m.ratings = false, 0
-	defer func() { m.nextPass = m.now.Add(passInterval + time.Duration(m.ratings)*passIntervalPerRating) }()
 	p := pass{m: m, unmet: map[unmetRequest]sched.Resources{}}
-	for _, s := range m.waitingSteps() {
+	stop := m.timed(&m.effort.Pass)
+	defer func() {
+		stop()
+		m.effort.Ratings, m.effort.Starts = m.ratings, p.starts
+		m.nextPass = m.now.Add(passInterval + time.Duration(m.ratings)*passIntervalPerRating)
+	}()
+	steps := m.waitingSteps()
+	m.effort.Steps = len(steps)
+	for _, s := range steps {
 		p.placeStep(s)
 		if p.starts >= maxStartsPerPass {
 			m.stale = true
@@ -38,6 +45,7 @@
 
 // waitingSteps returns the steps with waiting tasks, the most urgent first.
 func (m *Machine) waitingSteps() []*step {
+	defer m.timed(&m.effort.Order)()
 	var out []*step
 	for _, j := range m.live {
 		for _, o := range j.occurrences {
@@ -86,6 +94,9 @@
 	u := urgency{priority: q.Priority}
 	if s.spec.Perpetual {
 		u.late, u.by = latePerpetual, s.readyAt
+		if since := m.awayLongest(s); !since.IsZero() {
+			u.late, u.by = lateAway, since
+		}
 		return u
 	}
 	chain := m.chain(s.occ)
@@ -105,9 +116,11 @@
 	return u
 }
 
-// Values of urgency.late above 0 (on time) and 1 (late). Short tasks come
-// before perpetual ones because they free their capacity soon.
+// Values of urgency.late other than 0 (on time) and 1 (late). Short tasks come
+// before perpetual ones because they free their capacity soon, except before those
+// that have been away too long.
 const (
+	lateAway      = -1
 	latePerpetual = 2
 	lateWorthless = 3
 )
@@ -166,6 +179,7 @@
 	bestEffort bool
 	image      string
 	perpetual  bool
+	away       bool
 	// waitLevel counts the waiting times that the task has exceeded. Each one
 	// permits workers that were excluded before.
 	waitLevel int
@@ -206,8 +220,9 @@
 		defer p.m.askAdvice(s, q)
 	}
 	ranks := ranking{m: p.m, q: q}
+	f.away = !p.m.awayLongest(s).IsZero()
 	for _, t := range s.tasks {
-		if t.phase != phaseQueued || p.starts >= maxStartsPerPass {
+		if t.phase != phaseQueued || p.starts >= maxStartsPerPass || f.away && !p.m.awayTooLong(t) {
 			continue
 		}
 		f.waitLevel = p.m.waitLevel(t)
@@ -216,7 +231,7 @@
 			p.unplaced = append(p.unplaced, s)
 			return
 		}
-		if t.mayBeRunning && p.m.recovery.active {
+		if t.mayBeRunning() {
 			p.m.setBlocked(s, "an earlier run may still be running")
 			continue
 		}
