Pass on the handover if a leader is stopped while it loads the state

A leader that got SIGTERM between the beginning of its term and the end of the load wrote no handover, and that of its predecessor did not fit the next term: the next leader had to wait as after a crash. It now waits for the load, 0.5 s at most, before it resigns. The parts of the stored state other than the work are read at the same time instead of one after the other.

TestLeaderThatLoadsPassesOnTheHandover fails without the wait: go test ./internal/leader -run TestLeaderThatLoadsPassesOnTheHandover

--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
 
 	"github.com/mangoslip/mangoslip/internal/layout"
 	"github.com/mangoslip/mangoslip/pkg/sched"
@@ -13,18 +15,15 @@
 // to watch for further work.
 func (t *term) load() (sched.Version, error) {
 	t.spawn("renew lease", t.renewWhileLoading)
-	storedProgress, err := t.rangeWithRetry(layout.Root + flow.KeyProgress)
-	if err != nil {
-		return 0, err
-	}
-	takeover, err := t.loadTakeover()
-	if err != nil {
-		return 0, err
-	}
-	members, err := t.rangeWithRetry(t.l.MembersPrefix)
+	stored, err := t.rangeAll(
+		layout.Root+flow.KeyProgress, layout.Root+flow.KeyRoster, layout.Root+flow.KeyInterference,
+		layout.Root+flow.KeyHandover, t.l.MembersPrefix,
+	)
 	if err != nil {
 		return 0, err
 	}
+	storedProgress, members := stored[0], stored[4]
+	takeover := t.takeover(stored[1:4])
 	// The work comes last, so that cancellations are not older than necessary when
 	// tasks are started. No earlier leader can change the progress any more.
 	work, err := t.rangeWithRetry(layout.WorkPrefix)
@@ -52,30 +51,46 @@
 	return work.version, nil
 }
 
-// loadTakeover reads what earlier leaders recorded apart from the progress of jobs.
-func (t *term) loadTakeover() (flow.TakeoverMsg, error) {
+// takeover returns what earlier leaders recorded apart from the progress of jobs.
+func (t *term) takeover(stored []reading) flow.TakeoverMsg {
 	msg := flow.TakeoverMsg{Began: t.started}
-	for _, key := range []string{flow.KeyRoster, flow.KeyInterference, flow.KeyHandover} {
-		stored, err := t.rangeWithRetry(layout.Root + key)
-		if err != nil {
-			return msg, err
-		}
-		i, ok := stored.byKey()[layout.Root+key]
-		switch {
-		case !ok:
-		case key == flow.KeyRoster:
-			msg.Version = i.Version
-			if msg.Roster, err = flow.DecodeRoster(i.Value); err != nil {
-				t.l.log.Error("roster is damaged", "version", i.Version, "error", err)
-				msg.Roster = nil
+	for _, r := range stored {
+		for _, i := range r.items {
+			switch i.Key {
+			case layout.Root + flow.KeyRoster:
+				msg.Roster, msg.Version = t.decodeRoster(i), i.Version
+			case layout.Root + flow.KeyInterference:
+				msg.Interference, msg.InterferenceVersion = i.Value, i.Version
+			case layout.Root + flow.KeyHandover:
+				msg.Handover = i.Value
 			}
-		case key == flow.KeyInterference:
-			msg.Interference, msg.InterferenceVersion = i.Value, i.Version
-		case key == flow.KeyHandover:
-			msg.Handover = i.Value
 		}
 	}
-	return msg, nil
+	return msg
+}
+
+// decodeRoster returns the workers of a stored roster, or nil if it is damaged.
+func (t *term) decodeRoster(i sched.Item) []sched.Member {
+	members, err := flow.DecodeRoster(i.Value)
+	if err != nil {
+		t.l.log.Error("roster is damaged", "version", i.Version, "error", err)
+		return nil
+	}
+	return members
+}
+
+// rangeAll reads the items under several prefixes at once, like rangeWithRetry.
+func (t *term) rangeAll(prefixes ...string) ([]reading, error) {
+	out := make([]reading, len(prefixes))
+	errs := make([]error, len(prefixes))
+	var wg sync.WaitGroup
+	for i, p := range prefixes {
+		wg.Go(func() {
+			t.guarded("load state", func() { out[i], errs[i] = t.rangeWithRetry(p) })
+		})
+	}
+	wg.Wait()
+	return out, errors.Join(errs...)
 }
 
 // rangeWithRetry reads the items under a prefix, and retries until this succeeds
--- a/internal/leader/resign.go
+++ b/internal/leader/resign.go
@@ -16,14 +16,20 @@
 	// handoverTimeout bounds how long a leader that resigns waits until what it knows
 	// of runs is written.
 	handoverTimeout = 900 * time.Millisecond
-	// handoverRetry is the pause after a failed attempt to write it.
+	// loadWait bounds how long a leader that resigns waits until the stored state is
+	// loaded. Without it the leader knows nothing of runs.
+	loadWait = 500 * time.Millisecond
+	// handoverRetry is the pause after a failed attempt to write it, and loadCheck that
+	// between two checks whether the state is loaded.
 	handoverRetry = 50 * time.Millisecond
+	loadCheck     = 10 * time.Millisecond
 )
 
 // resign ends the term voluntarily. The state machine issues no orders from then on and
 // hands over what it knows of runs. The leader's key is removed, so that another entry
 // can lead at once.
 func (t *term) resign(ctx context.Context, why string) {
+	t.awaitLoad(ctx)
 	t.mu.Lock()
 	skipped := slices.Collect(maps.Keys(t.skipped))
 	t.mu.Unlock()
@@ -45,6 +51,18 @@
 	}
 }
 
+// awaitLoad waits until the stored state is loaded, for at most loadWait.
+func (t *term) awaitLoad(ctx context.Context) {
+	for deadline := t.l.now().Add(loadWait); t.l.now().Before(deadline) && t.ctx.Err() == nil; pause(ctx, loadCheck) {
+		t.l.mu.Lock()
+		loaded := t.loaded
+		t.l.mu.Unlock()
+		if loaded {
+			return
+		}
+	}
+}
+
 // handOver writes what the state machine knows of runs and removes the leader's key, in
 // one transaction that requires that the term is the newest. If it does not take effect,
 // the next leader asks the workers. It may take effect late, as long as no other term
--- a/internal/leader/resign_test.go
+++ b/internal/leader/resign_test.go
@@ -186,6 +186,35 @@
 	})
 }
 
+// Guards against a leader that is stopped while it loads the stored state and drops what
+// its predecessor has handed over.
+func TestLeaderThatLoadsPassesOnTheHandover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newPool(t, 4, 6, 4)
+		defer c.stopAll()
+		c.leading()[0].Resign(t.Context())
+		for _, e := range c.entries {
+			e.client.SetDelay(60 * time.Millisecond)
+		}
+		for len(c.loading(2)) == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		c.loading(2)[0].Resign(t.Context())
+		time.Sleep(3 * time.Second)
+		require.Contains(t, c.log.String(), "takeover started\" term=3 workers=6 handedOver=true")
+	})
+}
+
+// loading returns the entries that have begun a term and not loaded the stored state.
+func (c *cluster) loading(term uint64) (out []*entry) {
+	for _, e := range c.entries {
+		if _, leads := e.Totals(); !leads && e.Current().Name == e.Name && e.Current().Term == term {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 // Guards against a task that starts again although its run goes on, and against tasks
 // that wait for ever, if the record of a leader that resigned is not written or its
 // answer is lost.
