Ask a worker again until its runs of unknown tasks are gone

Cause: a run of a task that the leader does not know, such as one of a cancelled job after a takeover, was stopped once for each report that lists it. A worker without other runs was not asked again, so a lost stop was the last one and the run went on until its lease expired, up to 6 s. Beside other runs the next report could come 1.5 s later.

Change: a worker whose last report lists runs of unknown tasks is asked again, and may delay its answer for the duration of a stop at most. Such renewals do not extend the leases of a worker that has no other runs.

Failed before: TestUnknownRunIsStoppedAgain (no further renewal) and TestUnknownRunBesideOthersIsStoppedAgain (1.5 s), go test ./pkg/sched/flow. Race tests of flow, emul and leader pass.

--- a/pkg/sched/flow/renewal.go
+++ b/pkg/sched/flow/renewal.go
@@ -85,7 +85,7 @@
 		m.sendRenewal(w, 0)
 	case (w.suspected || w.slow) && (len(w.runs) > 0 || w.listed):
 		m.sendRenewal(w, 0)
-	case len(w.runs) > 0:
+	case len(w.runs) > 0, w.unknownRuns > 0:
 		m.sendRenewal(w, m.renewWaitFor(w))
 	case w.acknowledged < w.durable:
 		m.sendRenewal(w, 0)
@@ -96,6 +96,9 @@
 
 // renewWaitFor returns how long the worker may delay its answer to a renewal.
 func (m *Machine) renewWaitFor(w *worker) time.Duration {
+	if w.unknownRuns > 0 {
+		return m.stopTime + m.callTime // The next report shows whether the stops had an effect.
+	}
 	if len(w.criticalRuns) == 0 || len(w.bestEffortRuns) == 0 {
 		return renewWait
 	}
@@ -118,8 +121,9 @@
 	}
 	o := sched.RenewOrder{Fence: m.term, Seen: w.renewal.seen, Wait: wait}
 	// The leases of an unresponsive worker are not renewed, so that they expire and
-	// its tasks can start elsewhere.
-	if w.hasClock && w.answered && !w.unresponsive(m.now) && m.mayIssueOrders {
+	// its tasks can start elsewhere. Nor are those of a worker that only has runs of
+	// unknown tasks.
+	if w.hasClock && (len(w.runs) > 0 || w.unknownRuns == 0) && w.answered && !w.unresponsive(m.now) && m.mayIssueOrders {
 		o.HasDeadline, o.Deadline = true, w.extendDeadline(m.now, m.lease)
 	}
 	timeout := answerTimeout
@@ -318,6 +322,7 @@
 // run. A run that a partial report does not list may still be in progress.
 func (m *Machine) applyRunReports(w *worker, sent time.Time, rep *sched.RenewReport) {
 	listed := make(map[sched.Run]bool, len(rep.Running))
+	w.unknownRuns = 0
 	for i := range rep.Running {
 		listed[rep.Running[i].Run] = true
 		m.applyRunReport(w, &rep.Running[i])
@@ -342,6 +347,7 @@
 	r := w.runs[rep.Run]
 	if r == nil {
 		if r = m.adopt(w, rep); r == nil {
+			w.unknownRuns++
 			return
 		}
 	}
--- a/pkg/sched/flow/worker.go
+++ b/pkg/sched/flow/worker.go
@@ -75,6 +75,9 @@
 	// reportedRuns counts the runs in the last report, and unreadable the rows of it
 	// that could not be read.
 	reportedRuns, unreadable int
+	// unknownRuns counts the runs of unknown tasks in the last report. They were
+	// ordered to stop.
+	unknownRuns int
 
 	// fullUntil is until when a worker that refused a start for lack of capacity
 	// gets no further start.
