--- a/pkg/sched/flow/worker.go
+++ b/pkg/sched/flow/worker.go
@@ -79,6 +79,8 @@
 	// ordered to stop.
 	unknownRuns int
 
+	booking booking
+
 	// fullUntil is until when a worker that refused a start for lack of capacity
 	// gets no further start.
 	fullUntil   time.Time
