Hold capacity for perpetual tasks that lost their run

Cause: a perpetual task that has been away too long comes first, but smaller tasks that come later in a pass take each piece of capacity that becomes free. The task waits until a piece of its size becomes free at once.

Change: a pass holds capacity for such a task on one worker, where it fits once the short tasks have ended. Later tasks of the pass leave it free.

--- a/pkg/sched/flow/away_test.go
+++ b/pkg/sched/flow/away_test.go
@@ -1,6 +1,7 @@
 package flow_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -90,3 +91,29 @@
 		require.Zero(t, running(e, "new"), "nor under the next leader")
 	})
 }
+
+// Guards against a perpetual task that lost its run and waits for ever, because small
+// tasks take each piece of capacity that becomes free.
+func TestLostPerpetualTaskGetsCapacityInPieces(t *testing.T) {
+	e := emul.New(30)
+	e.AddWorkers(4, sched.Resources{CPU: 32000, Memory: 125 * gib})
+	e.AddQueue(sched.Queue{Name: "Serve"})
+	e.AddQueue(sched.Queue{Name: "Short", MaxAttempts: 3, Stretch: 1.5, Target: time.Minute})
+	e.Lead()
+	step := serve
+	step.Count = 12
+	e.Submit(&sched.Workflow{ID: "serve", Queue: "Serve", Steps: []sched.StepSpec{step}}, emul.Work{})
+	e.RunFor(2 * time.Second)
+	require.Equal(t, 12, running(e, "serve"))
+	for i := range 2000 {
+		small := sched.StepSpec{Count: 1, Resources: sched.Resources{CPU: 1000, Memory: gib}, Estimate: time.Second}
+		work := emul.Work{Duration: time.Second + time.Duration(i%97)*11*time.Millisecond}
+		e.Submit(&sched.Workflow{ID: sched.JobID(fmt.Sprint("short", i)), Queue: "Short", Steps: []sched.StepSpec{small}}, work)
+	}
+	e.RunFor(3 * time.Second)
+	e.Workers[0].Drain(20 * time.Second)
+	require.True(t, e.RunUntil(2*time.Second, func() bool { return running(e, "serve") == 7 }))
+	e.RunFor(maxGap)
+	require.Equal(t, 12, running(e, "serve"))
+	requireNoViolations(t, e)
+}
--- a/pkg/sched/flow/job.go
+++ b/pkg/sched/flow/job.go
@@ -115,6 +115,8 @@
 	// awayMillis is the same as Unix time in milliseconds.
 	awaySince  time.Time
 	awayMillis int64
+	// heldOn is the worker on which capacity was last held for the task.
+	heldOn *worker
 	// mayBeRunning means that an earlier leader may have started the task on a
 	// worker that has not answered yet.
 	mayBeRunning bool
@@ -152,7 +154,7 @@
 	if t.phase == phaseQueued {
 		return
 	}
-	t.phase, t.queuedAt = phaseQueued, m.now
+	t.phase, t.queuedAt, t.heldOn = phaseQueued, m.now, nil
 	m.noteInherited(t)
 	t.step.queued++
 	m.stale = true
--- a/pkg/sched/flow/place.go
+++ b/pkg/sched/flow/place.go
@@ -29,7 +29,7 @@
 
 // permitted reports whether a task may run on a worker and fits there.
 func (m *Machine) permitted(t *task, w *worker, q sched.Queue) bool {
-	return t.step.spec.Need().Fits(w.free()) && m.acceptable(t, w, q)
+	return t.step.spec.Need().Fits(w.open()) && m.acceptable(t, w, q)
 }
 
 // acceptable reports whether a task may run on a worker, regardless of free
--- a/pkg/sched/flow/schedule.go
+++ b/pkg/sched/flow/schedule.go
@@ -31,6 +31,7 @@
 		m.effort.Ratings, m.effort.Starts = m.ratings, p.starts
 		m.nextPass = m.now.Add(passInterval + time.Duration(m.ratings)*passIntervalPerRating)
 	}()
+	m.dropHeld()
 	steps := m.waitingSteps()
 	m.effort.Steps = len(steps)
 	for _, s := range steps {
@@ -169,6 +170,8 @@
 	// reserved means that free capacity is reserved for a gang. Short tasks that
 	// come later in the pass wait.
 	reserved bool
+	// holds counts the tasks for which the pass holds capacity.
+	holds int
 }
 
 // unmetRequest holds what a task that found no worker asked for, apart from
@@ -227,8 +230,7 @@
 		}
 		f.waitLevel = p.m.waitLevel(t)
 		if low, tried := p.unmet[f]; tried && low.Fits(need) {
-			p.m.setBlocked(s, "no suitable worker with free capacity")
-			p.unplaced = append(p.unplaced, s)
+			p.noteUnplaced(s, q)
 			return
 		}
 		if t.mayBeRunning && p.m.recovery.active {
@@ -237,8 +239,7 @@
 		}
 		w := ranks.best(t, f.waitLevel)
 		if w == nil {
-			p.m.setBlocked(s, "no suitable worker with free capacity")
-			p.unplaced = append(p.unplaced, s)
+			p.noteUnplaced(s, q)
 			if s.spec.AntiAffinity == 0 && s.spec.Affinity == "" && len(t.avoid) == 0 && !q.Advised {
 				p.unmet[f] = need
 			}
@@ -251,6 +252,15 @@
 	}
 }
 
+// noteUnplaced records that no suitable worker has enough free capacity for a step.
+func (p *pass) noteUnplaced(s *step, q sched.Queue) {
+	p.m.setBlocked(s, "no suitable worker with free capacity")
+	p.unplaced = append(p.unplaced, s)
+	if s.spec.Perpetual {
+		p.holdForAway(s, q)
+	}
+}
+
 // setBlocked stores why a step waits and logs a new reason once.
 func (m *Machine) setBlocked(s *step, why string) {
 	if s.blocked == why {
--- a/pkg/sched/flow/worker.go
+++ b/pkg/sched/flow/worker.go
@@ -33,6 +33,9 @@
 	// instead of the map keeps the machine deterministic.
 	list []*run
 	used sched.Resources
+	// held is capacity that the current pass leaves free for a task that has been
+	// away too long.
+	held sched.Resources
 	// criticalRuns holds the latency-critical runs and bestEffortRuns the
 	// best-effort runs.
 	criticalRuns, bestEffortRuns []*run
