Put renewals off from the answer until the ends in it are recorded

Quotes took 0.2 to 1 s longer from the order to start until their end was noticed than they ran.

Cause: after a report with an end, the next renewal waits up to 0.3 s until the end is recorded. That time counted from the sending of the renewal that had brought the report, which waits up to 1.5 s for an end. So after most reports a renewal without an acknowledgement was sent at once. The worker answered it at once with the same end, and then got no renewal for 0.4 s, in which nobody noticed its next ends and their capacity stayed taken.

Change: the time counts from the answer, and the pause after a renewal without an acknowledgement is gone; maxCommitWait bounds their rate.

Result: TestEndsInQuickSuccessionAreNoticed failed before ("second is not completed" within 0.1 s; it took 0.4 s) and passes. TestLeasesAreRenewedWhileEndsAreNotRecorded guards the renewals that stay.

--- a/pkg/sched/flow/renewal.go
+++ b/pkg/sched/flow/renewal.go
@@ -20,13 +20,13 @@
 	renewWaitCompatible = time.Second
 	// renewRetry is the pause after a renewal that failed or was refused.
 	renewRetry = 250 * time.Millisecond
-	// maxCommitWait is how long a renewal is put off until an end is recorded.
-	// After it the leases are renewed without acknowledging the end.
+	// maxCommitWait is how long after an answer the next renewal is put off until an
+	// end is recorded. After it the leases are renewed without acknowledging the end.
+	// The worker answers such a renewal at once, because it has that end to report.
 	maxCommitWait = 300 * time.Millisecond
-	// unrecordedRenewPause is the pause between renewals while ends cannot be
-	// recorded. The worker answers such a renewal at once because it has an
-	// unacknowledged end to report.
-	unrecordedRenewPause = 400 * time.Millisecond
+	// unreadableRenewPause is the pause after a report with rows that cannot be read.
+	// The worker lists these rows again at once.
+	unreadableRenewPause = 400 * time.Millisecond
 	// answerTimeout is how long an answer to a renewal may take, without its wait.
 	// slowAnswerTimeout applies to a worker that did not answer in that time. Its
 	// leases are renewed only if its answers arrive, so a worker that is slow to
@@ -42,9 +42,11 @@
 // renewalState is the state of a worker's lease renewals. At most one renewal
 // is in progress.
 type renewalState struct {
-	seq       uint64
-	inCall    bool
-	sent      time.Time
+	seq    uint64
+	inCall bool
+	sent   time.Time
+	// doneAt is when the last renewal was answered or failed.
+	doneAt    time.Time
 	notBefore time.Time
 	// seen is the last run end that the renewal in progress acknowledges.
 	seen uint64
@@ -77,9 +79,8 @@
 	case w.processed > w.durable:
 		// The ends are being recorded. Until they are acknowledged, the worker
 		// answers every renewal at once.
-		if m.now.Sub(w.renewal.sent) > maxCommitWait {
+		if m.now.Sub(w.renewal.doneAt) > maxCommitWait {
 			m.sendRenewal(w, 0)
-			w.renewal.notBefore = m.now.Add(unrecordedRenewPause)
 		}
 	case w.renewal.more:
 		m.sendRenewal(w, 0)
@@ -205,7 +206,7 @@
 	if w == nil || msg.Seq != w.renewal.seq {
 		return
 	}
-	w.renewal.inCall = false
+	w.renewal.inCall, w.renewal.doneAt = false, m.now
 	if msg.Err != nil {
 		m.lostContact(w, msg.Err)
 		w.renewal.notBefore, w.renewal.continuous = m.now.Add(renewRetry), false
@@ -309,7 +310,7 @@
 	}
 	w.unreadable = unreadable
 	if unreadable > 0 {
-		w.renewal.notBefore = m.now.Add(unrecordedRenewPause)
+		w.renewal.notBefore = m.now.Add(unreadableRenewPause)
 	}
 }
 
