Bound the starts that are ordered and not answered yet

Cause: the state machine orders up to 32 starts each 8 ms, whether or not the leader has sent the earlier ones. So the start of a quote waited behind those of hundreds of best-effort tasks, with its capacity taken. A quote's task of 0.5 s took 1.6 to 1.9 s from the order to its known end, so three times the capacity was needed, more tasks waited, and passes over them took more of the leader's time. That went on until the load fell.

Change: a window bounds the starts without a result. It grows while answers come within half the time of a call and shrinks while they come later, between 64 and 512. Tasks beyond it stay queued, in order of urgency and without capacity. The members of a gang still start together, and starts that are repeated are not held back.

--- a/internal/emul/orders.go
+++ b/internal/emul/orders.go
@@ -11,11 +11,24 @@
 // lease renewal.
 const orderTimeout = 300 * time.Millisecond
 
-// deliver sends an order to a worker, with the emulated delays and losses.
-// execute runs on the worker; it calls answer with the function that delivers
-// the reply to the leader. If no reply has arrived after timeout, fail delivers
-// the failure to the leader.
+// deliver sends an order to a worker, with the emulated delays and losses, once the
+// leader has sent the orders before it. execute runs on the worker; it calls answer with
+// the function that delivers the reply to the leader. If no reply has arrived after
+// timeout, fail delivers the failure to the leader.
 func (l *Leader) deliver(name sched.WorkerName, timeout time.Duration, execute func(w *Worker, answer func(func())), fail func(error)) {
+	if l.OrderCost == 0 {
+		l.send(name, timeout, execute, fail)
+		return
+	}
+	if l.busyUntil.Before(l.e.now) {
+		l.busyUntil = l.e.now
+	}
+	l.busyUntil = l.busyUntil.Add(l.OrderCost)
+	l.e.After(l.busyUntil.Sub(l.e.now), func() { l.send(name, timeout, execute, fail) })
+}
+
+// send sends an order to a worker.
+func (l *Leader) send(name sched.WorkerName, timeout time.Duration, execute func(w *Worker, answer func(func())), fail func(error)) {
 	e := l.e
 	answered := false
 	e.After(timeout, func() {
--- a/internal/emul/store.go
+++ b/internal/emul/store.go
@@ -115,6 +115,11 @@
 	storeCut    bool
 	watchSilent bool
 	cut         map[*Worker]bool
+	// OrderCost is the processor time that the leader takes for each order to a
+	// worker. The orders are sent one after the other; busyUntil is when the last one
+	// is sent.
+	OrderCost time.Duration
+	busyUntil time.Time
 	// LostReason is the reason why the machine gave up leadership. It is empty
 	// while the machine leads.
 	LostReason string
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -79,6 +79,7 @@
 	interference   interference
 	estimateRecord estimateRecord
 	runtimes       runtimes
+	window         startWindow
 
 	// stale means that tasks or free capacity have changed since the last
 	// scheduling pass.
@@ -151,6 +152,7 @@
 	m.commits.init()
 	m.runtimes.init()
 	m.interference.init()
+	m.window.size = minStartWindow
 	return m
 }
 
--- a/pkg/sched/flow/schedule.go
+++ b/pkg/sched/flow/schedule.go
@@ -20,11 +20,11 @@
 
 // schedule places waiting tasks, the most urgent first.
 func (m *Machine) schedule() {
-	if !m.stale || !m.loaded || !m.mayStart() || m.now.Before(m.nextPass) {
+	if !m.stale || !m.loaded || !m.mayStart() || m.now.Before(m.nextPass) || m.window.free() == 0 {
 		return
 	}
 	m.stale, m.ratings = false, 0
-	p := pass{m: m, unmet: map[unmetRequest]sched.Resources{}}
+	p := pass{m: m, unmet: map[unmetRequest]sched.Resources{}, maxStarts: min(maxStartsPerPass, m.window.free())}
 	stop := m.timed(&m.effort.Pass)
 	defer func() {
 		stop()
@@ -36,7 +36,7 @@
 	m.effort.Steps = len(steps)
 	for _, s := range steps {
 		p.placeStep(s)
-		if p.starts >= maxStartsPerPass {
+		if p.starts >= p.maxStarts {
 			m.stale = true
 			return
 		}
@@ -160,8 +160,10 @@
 
 // pass is one iteration over the waiting tasks.
 type pass struct {
-	m      *Machine
-	starts int
+	m *Machine
+	// starts counts the starts that the pass ordered, maxStarts bounds them. The
+	// members of a gang start together, even if that exceeds the bound.
+	starts, maxStarts int
 	// unmet holds the last resources for which no worker was found, for each kind
 	// of request. Tasks that need as much of each resource are not tried.
 	unmet map[unmetRequest]sched.Resources
@@ -225,7 +227,7 @@
 	ranks := ranking{m: p.m, q: q}
 	f.away = !p.m.awayLongest(s).IsZero()
 	for _, t := range s.tasks {
-		if t.phase != phaseQueued || p.starts >= maxStartsPerPass || f.away && !p.m.awayTooLong(t) {
+		if t.phase != phaseQueued || p.starts >= p.maxStarts || f.away && !p.m.awayTooLong(t) {
 			continue
 		}
 		f.waitLevel = p.m.waitLevel(t)
--- a/pkg/sched/flow/start.go
+++ b/pkg/sched/flow/start.go
@@ -25,6 +25,7 @@
 	w := r.worker
 	r.lastSent, r.inCall = m.now, true
 	r.tries++
+	m.window.ordered++
 	ticket, _ := r.task.step.ticket(w, m.now)
 	order := sched.StartOrder{
 		Run: r.id(), Text: r.task.job().spec.Text, Deadline: w.extendDeadline(m.now, m.lease),
@@ -41,6 +42,7 @@
 
 // handleStartResult handles the answer to a start.
 func (m *Machine) handleStartResult(msg StartResultMsg) {
+	m.noteStartResult(msg)
 	w := m.workers[msg.Worker]
 	if w == nil {
 		return
