--- a/internal/emul/store.go
+++ b/internal/emul/store.go
@@ -117,6 +117,11 @@
 	cut         map[*Worker]bool
 	// resigned is called once the leader has resigned.
 	resigned func()
+	// OrderCost is the processor time that the leader takes for each order to a
+	// worker. The orders are sent one after the other; busyUntil is when the last one
+	// is sent.
+	OrderCost time.Duration
+	busyUntil time.Time
 	// LostReason is the reason why the machine gave up leadership. It is empty
 	// while the machine leads.
 	LostReason string
