Resolve only perpetual tasks by the end of their own run

A task with a limit of attempts may have failed before, on a worker that does not answer the new leader. The earlier leader may have seen that failure without recording it, so the worker still lists it, and it counts once it is acknowledged. Such a task waits for the workers as before. Perpetual tasks have no limit.

TestFailuresMayBeListedByASilentWorker fails without the condition: go test ./pkg/sched/flow -run TestFailuresMayBeListed

--- a/pkg/sched/flow/handover_test.go
+++ b/pkg/sched/flow/handover_test.go
@@ -169,6 +169,28 @@
 	n.requireStarted(t, "inherited")
 }
 
+// Guards against a task that fails more often than its queue permits, because it starts
+// again while a silent worker may list failures that an earlier leader saw.
+func TestFailuresMayBeListedByASilentWorker(t *testing.T) {
+	for name, perpetual := range map[string]bool{"perpetual": true, "with attempts": false} {
+		t.Run(name, func(t *testing.T) {
+			job := oneTask("job", begin, true)
+			job.Job.Steps[0].Perpetual = perpetual
+			n := newSteered(2, begin, two, "w")
+			run := sched.Run{Task: sched.RunTask{Job: "job"}, Number: 2}
+			n.reports["v"] = sched.RenewReport{Running: []sched.RunReport{{Run: run}}}
+			n.update(job)
+			n.takeOver(nil)
+			n.pass(2400 * time.Millisecond)
+			n.requireStarted(t)
+			n.reports["v"] = sched.RenewReport{Ended: []sched.RunEnd{{Seq: 1, Run: run, How: sched.EndFailed}}}
+			n.pass(1600 * time.Millisecond)
+			want := map[bool][]sched.JobID{true: {"job"}}
+			n.requireStarted(t, want[perpetual]...)
+		})
+	}
+}
+
 // Guards against a leader that has not loaded the stored state and hands over that
 // nothing runs.
 func TestLeaderThatKnowsNothingHandsOverNothing(t *testing.T) {
--- a/pkg/sched/flow/recover.go
+++ b/pkg/sched/flow/recover.go
@@ -144,12 +144,13 @@
 	m.log("takeover complete", "term", m.term, "silent", r.silent)
 }
 
-// resolveTask records that a run of the task was in progress in this term, whose end its
-// worker lists. No earlier leader can have taken it for ended and started another one.
-// An earlier leader can have learnt of any other end first: a restarted worker has
-// forgotten the fencing token.
+// resolveTask records that a run of a perpetual task was in progress in this term, whose
+// end its worker lists. No earlier leader can have taken it for ended and started another
+// one. An earlier leader can have learned of any other end first: a restarted worker has
+// forgotten the fencing token. A silent worker may still list failures of a task that is
+// not perpetual, and these count.
 func (m *Machine) resolveTask(r *run) {
-	if m.hiddenFromEarlierLeaders(r) && !r.task.step.spec.Speculative {
+	if r.task.step.spec.Perpetual && !r.task.step.spec.Speculative && m.hiddenFromEarlierLeaders(r) {
 		r.task.unresolved = false
 	}
 }
