--- a/pkg/sched/flow/waits.go
+++ b/pkg/sched/flow/waits.go
@@ -25,14 +25,33 @@
 	m.waitsLoggedAt = m.now
 	// A pass at the same time must not see what is cached here.
 	ratings, capacity, free := m.ratings, m.usableCapacity, m.criticalFree
+	away, booked := m.awaySums()
 	for _, t := range m.longestWaits() {
 		fits := t.step.fitsTwo
-		m.log("task waits", m.waitAttrs(t)...)
+		m.log("task waits", append(m.waitAttrs(t), "allAway", away, "allBooked", booked)...)
 		t.step.fitsTwo = fits
 	}
 	m.ratings, m.usableCapacity, m.criticalFree = ratings, capacity, free
 }
 
+// awaySums returns how many tasks have been away too long, and how many workers are
+// booked.
+func (m *Machine) awaySums() (away, booked int) {
+	for _, j := range m.live {
+		for _, t := range j.tasks() {
+			if m.awayTooLong(t) {
+				away++
+			}
+		}
+	}
+	for _, w := range m.order {
+		if w.booking.step != nil {
+			booked++
+		}
+	}
+	return away, booked
+}
+
 // longestWaits returns the first waiting task of each of the steps that have waited
 // longest.
 func (m *Machine) longestWaits() []*task {
