Book workers for tasks that fit also behind tasks that fit nowhere

Cause: a pass tried at most eight times to book a worker. Tasks too large for any worker came first, as they had waited longest, and used up the tries.

Change: what each worker will have free is added up once for a pass. A task that needs more than any of them is left out at once, and tries are not counted any more.

Result: TestLostPerpetualTaskRunsAgain/behind_others_that_fit_nowhere failed before and passes.

--- a/pkg/sched/flow/away_test.go
+++ b/pkg/sched/flow/away_test.go
@@ -1,6 +1,7 @@
 package flow_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -22,11 +23,14 @@
 // crowded returns workers with perpetual tasks beside more short tasks than fit.
 func crowded(t *testing.T) (*emul.Emulator, *emul.Leader) { return crowdedWith(t, serve, 6) }
 
-func crowdedWith(t *testing.T, serve sched.StepSpec, width int) (*emul.Emulator, *emul.Leader) {
+func crowdedWith(t *testing.T, serve sched.StepSpec, width int, prepare ...func(*emul.Emulator)) (*emul.Emulator, *emul.Leader) {
 	e := emul.New(29)
 	e.AddWorkers(9, sched.Resources{CPU: 32000, Memory: 125 * gib})
 	e.AddQueue(sched.Queue{Name: "Serve"})
 	l := e.Lead()
+	for _, f := range prepare {
+		f(e)
+	}
 	e.Submit(&sched.Workflow{ID: "serve", Queue: "Serve", Steps: []sched.StepSpec{serve}}, emul.Work{})
 	e.RunFor(2 * time.Second)
 	require.Equal(t, serve.Count, running(e, "serve"))
@@ -89,6 +93,23 @@
 		requireNoViolations(t, e)
 	})
 
+	t.Run("behind others that fit nowhere", func(t *testing.T) {
+		large := sched.StepSpec{Count: 9, Resources: sched.Resources{CPU: 12000, Memory: gib}, Perpetual: true}
+		special := sched.StepSpec{Count: 1, Resources: sched.Resources{CPU: 500, Memory: gib}, Perpetual: true, Requires: "special"}
+		e, _ := crowdedWith(t, large, 1, func(e *emul.Emulator) {
+			e.Workers[1].Member.Labels = []string{"special"}
+			for i := range 10 {
+				id := sched.JobID(fmt.Sprint("special", i))
+				e.Submit(&sched.Workflow{ID: id, Queue: "Serve", Steps: []sched.StepSpec{special}}, emul.Work{})
+			}
+			e.RunFor(time.Second)
+		})
+		e.Workers[1].Drain(2 * time.Second)
+		e.RunFor(time.Second)
+		require.True(t, e.RunUntil(maxGap, func() bool { return running(e, "serve") == 9 }))
+		requireNoViolations(t, e)
+	})
+
 	t.Run("new tasks come after short ones", func(t *testing.T) {
 		e, l := crowded(t)
 		step := serve
--- a/pkg/sched/flow/booking.go
+++ b/pkg/sched/flow/booking.go
@@ -14,9 +14,6 @@
 	// maxBookedShare is the share of the workers that may be booked at the same time.
 	// The others stay open to short tasks.
 	maxBookedShare = 0.25
-	// maxBookingsPerPass bounds the bookings that one pass makes, each of which looks at
-	// all workers.
-	maxBookingsPerPass = 8
 	// maxBookingTime is how long a booking lasts. After it another worker may do better.
 	maxBookingTime = 2 * time.Second
 )
@@ -39,11 +36,15 @@
 	return w.free().Sub(w.booking.step.spec.Need())
 }
 
-// bookings counts the bookings of a pass.
+// bookings holds the bookings at the time of a pass.
 type bookings struct {
-	byStep        map[*step]int
-	all, made     int
-	usableWorkers int
+	byStep             map[*step]int
+	all, usableWorkers int
+	// afterShort holds what each worker had free once its short tasks had ended when the
+	// pass first booked one, in the order of the workers. most is an upper bound in each
+	// dimension.
+	afterShort []sched.Resources
+	most       sched.Resources
 }
 
 // releaseBookings ends the bookings that are not needed any more or that did not help,
@@ -72,11 +73,10 @@
 // were not placed.
 func (p *pass) bookFor(s *step, q sched.Queue) {
 	for n := p.m.countAway(s) - p.bookings.byStep[s]; n > 0; n-- {
-		if p.bookings.made >= maxBookingsPerPass || float64(p.bookings.all) >= maxBookedShare*float64(p.bookings.usableWorkers) {
+		if float64(p.bookings.all) >= maxBookedShare*float64(p.bookings.usableWorkers) {
 			return
 		}
-		p.bookings.made++
-		w := p.m.bookable(s, q)
+		w := p.bookable(s, q)
 		if w == nil {
 			return
 		}
@@ -88,21 +88,41 @@
 
 // bookable returns the worker that lacks the least capacity for a task of a step of
 // those where it fits once the short tasks have ended, or nil.
-func (m *Machine) bookable(s *step, q sched.Queue) *worker {
+func (p *pass) bookable(s *step, q sched.Queue) *worker {
+	p.addUpShort()
 	need := s.spec.Need()
+	if !need.Fits(p.bookings.most) {
+		return nil
+	}
 	var best *worker
-	for _, w := range m.order {
-		m.ratings++
-		if w.booking.step != nil || best != nil && w.free().CPU <= best.free().CPU {
+	for i, w := range p.m.order {
+		if w.booking.step != nil || !need.Fits(p.bookings.afterShort[i]) || best != nil && w.free().CPU <= best.free().CPU {
 			continue
 		}
-		if need.Fits(w.freeAfterShort()) && m.acceptable(s.tasks[0], w, q) {
+		if need.Fits(w.freeAfterShort()) && p.m.acceptable(s.tasks[0], w, q) {
 			best = w
 		}
 	}
 	return best
 }
 
+// addUpShort computes what the workers have free once their short tasks have ended,
+// unless this pass has done so.
+func (p *pass) addUpShort() {
+	b := &p.bookings
+	if b.afterShort != nil {
+		return
+	}
+	b.afterShort = make([]sched.Resources, len(p.m.order))
+	for i, w := range p.m.order {
+		free := w.freeAfterShort()
+		b.afterShort[i] = free
+		b.most.CPU = max(b.most.CPU, free.CPU)
+		b.most.Memory = max(b.most.Memory, free.Memory)
+		b.most.Accelerators = max(b.most.Accelerators, free.Accelerators)
+	}
+}
+
 // freeAfterShort returns the free capacity of a worker once the runs that end by
 // themselves or are being stopped have ended.
 func (w *worker) freeAfterShort() sched.Resources {
