Set deadlines from the lowest reading that a worker's clock can have

Cause: a deadline is a reading of the worker's clock. The leader took it from the last reading and the time since then, so on a clock that is 2 % slow it was ahead by 2 % of the age of that reading more than a lease: 4.6 s instead of 4 s after 30 s in which the worker was idle, and up to the worker's limit of 6 s. The leader itself counts one lease. If the worker was cut off right after such a start, its task could be started again while it still ran.

Change: a deadline is one lease ahead of the lowest reading that the clock can have, which holds for all clocks that the platform permits, and for the time that a next leader waits. On an exact clock the lease is shorter by 3 % of the age of the reading. So an idle worker is asked for a new reading when the last one is 30 s old, once in 30 s at most; the lease is then shorter by 0.9 s at most until the next renewal.

Failed before: TestLeaseOnIdleWorkerWithSlowClock (4.022 s after 1 s idle), go test ./pkg/sched/flow. TestLeaseOnIdleWorker fails without the question for a reading: the deadline is 4.7 s in the past after 5 minutes. Race tests of flow, emul, leader and orders pass.

--- a/pkg/sched/flow/renewal.go
+++ b/pkg/sched/flow/renewal.go
@@ -87,7 +87,7 @@
 		m.sendRenewal(w, 0)
 	case len(w.runs) > 0, w.unknownRuns > 0:
 		m.sendRenewal(w, m.renewWaitFor(w))
-	case w.acknowledged < w.durable:
+	case w.acknowledged < w.durable, w.needsReading(m.now):
 		m.sendRenewal(w, 0)
 	case m.unconfirmed() && w.listed && w.sinceContact(m.now) > answerInterval:
 		m.sendRenewal(w, 0)
--- a/pkg/sched/flow/worker.go
+++ b/pkg/sched/flow/worker.go
@@ -178,11 +178,21 @@
 	return w.clock + time.Duration(float64(now.Sub(w.clockAt))/clockDrift)
 }
 
-// extendDeadline returns the reading of the worker's clock that is one lease
-// ahead.
+// extendDeadline returns a reading of the worker's clock that is at most one lease
+// ahead, also if the clock is slow. If it is not, the lease is shorter by a part of the
+// age of the last reading.
 func (w *worker) extendDeadline(now time.Time, lease time.Duration) time.Duration {
 	w.extendExpiry(now, lease)
-	return w.clock + now.Sub(w.clockAt) + lease
+	return w.minClock(now) + lease
+}
+
+// maxClockAge is the age of the last reading of an idle worker's clock from which the
+// worker is asked for a new one. Until then a lease is at most 0.9 s shorter.
+const maxClockAge = 30 * time.Second
+
+// needsReading reports whether the worker has to be asked for a reading of its clock.
+func (w *worker) needsReading(now time.Time) bool {
+	return w.listed && w.hasClock && now.Sub(w.clockAt) > maxClockAge && now.Sub(w.renewal.sent) > maxClockAge
 }
 
 // extendExpiry records that the worker may continue its runs for one more lease,
