Date answers that arrive after a suspension by their call

Cause: an answer counted as contact with its worker at the time at which it was handled. After a suspension of the leader, answers that workers had given before gave it the permission to issue orders without the store, although a newer leader may have taken over meanwhile.

An answer counts at most 2 s later than its call, or than the end of the delay that the worker may take. The timeouts of all calls are shorter, and they count the time in which the process runs, so only answers around a suspension are dated earlier. An answer of a process that was not suspended counts when it arrives, also if it is late.

Failed before: TestAnswerFromBeforeSuspensionGivesNoPermission (a task was started again), go test ./pkg/sched/flow. Race tests of flow, emul and leader pass. What remains: an answer from before a suspension may still count for 2 s (answerValid) after the time that the change gives it.

--- a/pkg/sched/flow/knowledge_test.go
+++ b/pkg/sched/flow/knowledge_test.go
@@ -177,3 +177,49 @@
 		require.Equal(t, 1, l.m.Totals().Runs)
 	})
 }
+
+// Guards against a leader that was suspended and that issues orders, without the store,
+// because answers count as fresh that workers gave before the suspension.
+func TestAnswerFromBeforeSuspensionGivesNoPermission(t *testing.T) {
+	l := newLeaderOfOne()
+	run := l.requireStart(t, "1")
+	l.now = l.now.Add(10 * time.Second)
+	renewals := l.handle(flow.RenewResultMsg{
+		Result: flow.Result{Worker: "w", Sent: l.now.Add(-10 * time.Second)}, Seq: l.waiting.Seq,
+		Report: sched.RenewReport{Clock: time.Duration(l.now.UnixNano()), Born: 1, Running: []sched.RunReport{{Run: run}}},
+	})
+	require.Len(t, renewals, 1)
+	l.now = l.now.Add(50 * time.Millisecond)
+	starts, _ := l.update(sched.TickMsg{})
+	require.Empty(t, starts)
+
+	l.reported(renewals[0], 1, run) // This call was made after the suspension.
+	l.now = l.now.Add(50 * time.Millisecond)
+	starts, _ = l.update(sched.TickMsg{})
+	require.Len(t, starts, 1, "the lease of the first run has expired")
+}
+
+// Guards against a healthy leader that loses its permission while the store is down,
+// because its worker takes its time to answer.
+func TestLateAnswersKeepPermission(t *testing.T) {
+	l := newLeaderOfOne()
+	run := l.requireStart(t, "1")
+	renewal := l.waiting
+	for range 60 {
+		sent := l.now
+		for end := l.now.Add(renewal.Order.Wait + 400*time.Millisecond); l.now.Before(end); l.now = l.now.Add(50 * time.Millisecond) {
+			for _, c := range l.m.Update(l.now, sched.TickMsg{}) {
+				if c, ok := c.(flow.LogCmd); ok {
+					require.NotEqual(t, "permission to issue orders changed", c.Event)
+				}
+			}
+		}
+		renewals := l.handle(flow.RenewResultMsg{
+			Result: flow.Result{Worker: "w", Sent: sent}, Seq: renewal.Seq,
+			Report: sched.RenewReport{Clock: time.Duration(l.now.UnixNano()), Born: 1, Running: []sched.RunReport{{Run: run}}},
+		})
+		require.Len(t, renewals, 1)
+		require.True(t, renewals[0].Order.HasDeadline)
+		renewal = renewals[0]
+	}
+}
--- a/pkg/sched/flow/renewal.go
+++ b/pkg/sched/flow/renewal.go
@@ -48,8 +48,8 @@
 	notBefore time.Time
 	// seen is the last run end that the renewal in progress acknowledges.
 	seen uint64
-	// waits means that the worker may delay its answer to the renewal in progress.
-	waits bool
+	// wait is how long the worker may delay its answer to the renewal in progress.
+	wait time.Duration
 	// more means that the worker may have more ends than its last report listed.
 	more bool
 	// continuous means that the last renewal was answered. Only then are ends
@@ -115,7 +115,7 @@
 
 func (m *Machine) sendRenewal(w *worker, wait time.Duration) {
 	w.renewal.seq++
-	w.renewal.inCall, w.renewal.sent, w.renewal.seen, w.renewal.waits = true, m.now, w.durable, wait > 0
+	w.renewal.inCall, w.renewal.sent, w.renewal.seen, w.renewal.wait = true, m.now, w.durable, wait
 	if !w.renewal.continuous {
 		w.renewal.seen = 0
 	}
@@ -136,7 +136,7 @@
 // noteAnswerTime records whether a worker answers slowly. Only an answer to a
 // renewal without a wait tells.
 func (m *Machine) noteAnswerTime(w *worker, took time.Duration) {
-	if w.renewal.waits {
+	if w.renewal.wait > 0 {
 		return
 	}
 	slow := took > answerTimeout && (w.slow || w.suspected) && !m.mostAreSlow
@@ -229,7 +229,7 @@
 		m.recovery.answered(w)
 		return
 	default:
-		w.contactAt = m.now
+		w.recordContact(msg.Sent.Add(w.renewal.wait), m.now)
 		w.renewal.notBefore = m.now.Add(renewRetry)
 		return
 	}
@@ -245,7 +245,7 @@
 	}
 	wasSuspected := w.suspected
 	m.noteAnswerTime(w, m.now.Sub(msg.Sent))
-	w.recordClock(msg.Sent, m.now, rep.Clock)
+	w.recordClock(msg.Sent.Add(w.renewal.wait), m.now, rep.Clock)
 	if wasSuspected {
 		m.log("worker answers again", "worker", w.name(), "runs", len(w.runs))
 		m.stale = true
--- a/pkg/sched/flow/start.go
+++ b/pkg/sched/flow/start.go
@@ -104,7 +104,7 @@
 
 // startAccepted records that the worker has the run.
 func (m *Machine) startAccepted(r *run) {
-	r.worker.contactAt = m.now
+	r.worker.recordContact(r.lastSent, m.now)
 	r.worker.fullBackoff = 0
 	r.knownAt = m.now
 	r.task.job().started = true
--- a/pkg/sched/flow/stop.go
+++ b/pkg/sched/flow/stop.go
@@ -47,7 +47,7 @@
 	case msg.Reply.Refusal == sched.OrderOtherIncarnation:
 		w.replaced = true
 	default:
-		w.contactAt = m.now
+		w.recordContact(msg.Sent, m.now)
 		if r.stopKnownAt.IsZero() {
 			r.stopKnownAt = m.now
 		}
--- a/pkg/sched/flow/worker.go
+++ b/pkg/sched/flow/worker.go
@@ -55,7 +55,7 @@
 	// if nothing more is ordered.
 	leasesExpireAt time.Time
 
-	// contactAt is when the worker last answered a call.
+	// contactAt is when the worker last answered a call, as far as is certain.
 	contactAt time.Time
 	// unansweredSince is when the first of the latest consecutive unanswered calls
 	// was noticed, zero if the last call was answered. suspected means that the
@@ -163,10 +163,11 @@
 // leader's. It leaves a margin over the 2% that the platform states.
 const clockDrift = 1.03
 
-// recordClock stores a reading of the worker's clock from an answer to a call.
+// recordClock stores a reading of the worker's clock from an answer to a call that began
+// at sent.
 func (w *worker) recordClock(sent, now time.Time, clock time.Duration) {
-	_ = sent
-	w.contactAt, w.unansweredSince, w.suspected = now, time.Time{}, false
+	w.recordContact(sent, now)
+	w.unansweredSince, w.suspected = time.Time{}, false
 	if w.hasClock && clock < w.minClock(now) {
 		return // The answer arrived after a later one.
 	}
