Acknowledge no ends if a worker may have restarted since its last report

A renewal acknowledges ends if the one before it was answered. A worker that restarts between two renewals and ends a run that it got meanwhile lost that end by an acknowledgement that was meant for the previous incarnation, and the task ran again. An answer to a start whose clock reading is much lower than before, or a call without an answer, now puts off the acknowledgement by one renewal.

--- a/pkg/sched/flow/roster_test.go
+++ b/pkg/sched/flow/roster_test.go
@@ -135,3 +135,32 @@
 	}
 	return out
 }
+
+// Guards against an acknowledgement that drops an end of a new incarnation: the worker
+// restarted between two renewals, accepted a start, and its clock shows it.
+func TestAcknowledgementIsForTheSameIncarnation(t *testing.T) {
+	for name, answer := range map[string]flow.StartResultMsg{
+		"clock starts again": {Reply: sched.OrderReply{HasClock: true, Clock: time.Second}},
+		"no answer":          {Result: flow.Result{Err: sched.ErrLost}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newSteered(1, begin, one).takeOver(nil)
+			first := l.run(t, "first")
+			l.pass(time.Second)
+			l.holdCommits = true
+			l.reports["w"] = sched.RenewReport{Ended: []sched.RunEnd{{Seq: 1, Run: first, How: sched.EndDone}}}
+			l.answer("w")
+			l.holdStarts = true
+			l.update(oneTask("second", l.now, false))
+			l.now = l.now.Add(20 * time.Millisecond)
+			l.update(sched.TickMsg{})
+			require.Len(t, l.starts, 2)
+			answer.Worker, answer.Sent, answer.Run = "w", l.now, l.starts[1].Order.Run
+			l.update(answer)
+			l.silent["w"] = true
+			l.update(flow.CommittedMsg{Seq: l.held[0].Seq, Version: 2})
+			l.pass(time.Second)
+			require.Zero(t, l.waiting["w"].Order.Seen)
+		})
+	}
+}
--- a/pkg/sched/flow/worker.go
+++ b/pkg/sched/flow/worker.go
@@ -163,7 +163,10 @@
 	_ = sent
 	w.contactAt, w.unansweredSince, w.suspected = now, time.Time{}, false
 	if w.hasClock && clock < w.minClock(now) {
-		return // The answer arrived after a later one.
+		// The answer arrived after a later one. If the reading is much lower, it may be
+		// that of a new incarnation.
+		w.renewal.continuous = w.renewal.continuous && clock > w.minClock(now)-maxOrderDelay
+		return
 	}
 	w.clock, w.clockAt, w.hasClock = clock, now, true
 }
@@ -201,7 +204,7 @@
 	if w.unansweredSince.IsZero() {
 		w.unansweredSince = now
 	}
-	w.suspected = true
+	w.suspected, w.renewal.continuous = true, false
 }
 
 // unresponsiveAfter is how long calls may stay unanswered before the worker's
