Acknowledge the ends of a job only after the job's changes are durable

An end that changes nothing was acknowledged at once. If its job had just ended and that was not recorded yet, a leader that died then left no trace of the end: the next one continued the job as it was recorded, and ran the task again after an acknowledged success, or more often than its queue permits.

TestEndsOfAJobWaitForItsRecord failed before: go test ./pkg/sched/flow -run TestEndsOfAJob; seen 1, want 0.

--- a/pkg/sched/flow/commit.go
+++ b/pkg/sched/flow/commit.go
@@ -169,6 +169,12 @@
 	m.acknowledgeEnds()
 }
 
+// hasUnrecordedChange reports whether a job has changes that are not durable.
+func (m *Machine) hasUnrecordedChange(id sched.JobID) bool {
+	j := m.jobs[id]
+	return j != nil && j.firstChange != 0
+}
+
 // oldestChange returns the number of the oldest change that is not durable.
 func (m *Machine) oldestChange() uint64 {
 	oldest := m.commits.lastChange + 1
--- a/pkg/sched/flow/renewal.go
+++ b/pkg/sched/flow/renewal.go
@@ -271,7 +271,9 @@
 	m.maintainWorker(w)
 }
 
-// applyEnds applies the run ends that are new, in order.
+// applyEnds applies the run ends that are new, in order. Those of a job with changes
+// that are not durable are acknowledged only afterwards, even if they change nothing
+// themselves: the next leader knows the job only as it is recorded.
 func (m *Machine) applyEnds(w *worker, ends []sched.RunEnd) {
 	for _, e := range ends {
 		if e.Seq <= w.processed {
@@ -280,7 +282,7 @@
 		w.processed = e.Seq
 		before := m.commits.lastChange
 		m.applyEnd(w, e)
-		if m.commits.lastChange != before || len(w.pending) > 0 {
+		if m.commits.lastChange != before || len(w.pending) > 0 || m.hasUnrecordedChange(e.Run.Task.Job) {
 			w.pending = append(w.pending, pendingEnd{seq: e.Seq, change: m.commits.lastChange})
 		} else {
 			w.durable = e.Seq
