--- a/pkg/sched/flow/accept.go
+++ b/pkg/sched/flow/accept.go
@@ -11,8 +11,8 @@
 		return
 	}
 	j := &job{
-		spec: msg.Job, queue: msg.Job.Queue, version: msg.Version, inherited: msg.Inherited,
-		remaining: msg.Job.Occurrences(),
+		spec: msg.Job, queue: msg.Job.Queue, version: msg.Version,
+		inherited: msg.Inherited && !m.recovery.resolved, remaining: msg.Job.Occurrences(),
 	}
 	j.acceptedAt = m.now
 	if age := time.Duration(m.wallMillis(m.now)-msg.Accepted) * time.Millisecond; age > 0 {
@@ -97,7 +97,7 @@
 		spec := &j.spec.Steps[i]
 		s := &step{occ: o, spec: spec, index: i, unfinishedBefore: len(spec.After), remaining: spec.Count}
 		for n := range spec.Count {
-			s.tasks = append(s.tasks, &task{step: s, index: n, mayBeRunning: j.inherited})
+			s.tasks = append(s.tasks, &task{step: s, index: n, unresolved: j.inherited})
 		}
 		o.steps = append(o.steps, s)
 		if spec.Count > 0 {
@@ -115,6 +115,9 @@
 // openStep queues the tasks of a step that depends on no unfinished step.
 func (m *Machine) openStep(s *step) {
 	s.readyAt = m.now
+	if len(s.spec.After) == 0 {
+		s.readyAt = s.occ.due
+	}
 	for _, t := range s.tasks {
 		if t.phase == phaseWaiting {
 			m.enqueue(t)
--- a/pkg/sched/flow/gang.go
+++ b/pkg/sched/flow/gang.go
@@ -68,7 +68,7 @@
 		if t.phase == phaseDone {
 			continue
 		}
-		if t.phase != phaseQueued || (t.mayBeRunning && p.m.recovery.active) {
+		if t.phase != phaseQueued || t.mayBeRunning() {
 			return
 		}
 		number = max(number, p.m.nextNumber(t))
@@ -206,7 +206,7 @@
 			if s.spec.AntiAffinity > 0 && t.step.placedOn[w]+count[w] >= s.spec.AntiAffinity {
 				continue
 			}
-			free := w.free().Sub(taken[w])
+			free := w.freeFor(s).Sub(taken[w])
 			if !need.Fits(free) {
 				continue
 			}
--- a/pkg/sched/flow/job.go
+++ b/pkg/sched/flow/job.go
@@ -13,7 +13,7 @@
 	queue sched.QueueName
 	// acceptedAt is when the job was accepted, on the machine's clock.
 	acceptedAt time.Time
-	// inherited means that an earlier leader may have started its tasks.
+	// inherited means that an earlier leader may have started any of its tasks.
 	inherited bool
 
 	occurrences []*occurrence
@@ -112,16 +112,20 @@
 	// queuedAt is when the task last began to wait for a worker.
 	queuedAt time.Time
 	// awaySince is when the last known run of a perpetual task ended, zero if none has.
-	// awayMillis is the same as Unix time in milliseconds.
+	// awayMillis is the recorded time, as Unix time in milliseconds.
 	awaySince  time.Time
 	awayMillis int64
-	// heldOn is the worker on which capacity was last held for the task.
-	heldOn *worker
-	// mayBeRunning means that an earlier leader may have started the task on a
-	// worker that has not answered yet.
-	mayBeRunning bool
+	// unresolved means that an earlier leader may have started the task on any of the
+	// recovery's holders. mayRunOn counts the unanswered workers on which an earlier
+	// leader, as it handed over, may have a run of the task.
+	unresolved bool
+	mayRunOn   int
 }
 
+// mayBeRunning reports whether an earlier leader may have started the task on a
+// worker that has not answered yet.
+func (t *task) mayBeRunning() bool { return t.unresolved || t.mayRunOn > 0 }
+
 func (t *task) job() *job { return t.step.occ.job }
 
 func (t *task) id() sched.RunTask {
@@ -154,7 +158,7 @@
 	if t.phase == phaseQueued {
 		return
 	}
-	t.phase, t.queuedAt, t.heldOn = phaseQueued, m.now, nil
+	t.phase, t.queuedAt = phaseQueued, m.now
 	m.noteInherited(t)
 	t.step.queued++
 	m.stale = true
--- a/pkg/sched/flow/renewal.go
+++ b/pkg/sched/flow/renewal.go
@@ -50,8 +50,8 @@
 	notBefore time.Time
 	// seen is the last run end that the renewal in progress acknowledges.
 	seen uint64
-	// waits means that the worker may delay its answer to the renewal in progress.
-	waits bool
+	// wait is how long the worker may delay its answer to the renewal in progress.
+	wait time.Duration
 	// more means that the worker may have more ends than its last report listed.
 	more bool
 	// continuous means that the last renewal was answered. Only then are ends
@@ -63,11 +63,11 @@
 // maintainWorker renews a worker's leases if that is due. It also repeats stops
 // and ends the runs of a worker whose leases have expired.
 func (m *Machine) maintainWorker(w *worker) {
-	if !m.loaded {
+	if !m.loaded || m.resignation.began {
 		return
 	}
 	m.repeatStops(w)
-	if w.leasesExpired(m.now) && len(w.runs) > 0 {
+	if len(w.runs) > 0 && w.leasesExpired(m.now) && m.ledAt(w.leasesExpireAt) {
 		m.endExpiredRuns(w)
 	}
 	if w.renewal.inCall || m.now.Before(w.renewal.notBefore) || w.replaced {
@@ -86,9 +86,9 @@
 		m.sendRenewal(w, 0)
 	case (w.suspected || w.slow) && (len(w.runs) > 0 || w.listed):
 		m.sendRenewal(w, 0)
-	case len(w.runs) > 0:
+	case len(w.runs) > 0, w.unknownRuns > 0:
 		m.sendRenewal(w, m.renewWaitFor(w))
-	case w.acknowledged < w.durable:
+	case w.acknowledged < w.durable, w.needsReading(m.now):
 		m.sendRenewal(w, 0)
 	case m.unconfirmed() && w.listed && w.sinceContact(m.now) > answerInterval:
 		m.sendRenewal(w, 0)
@@ -97,6 +97,9 @@
 
 // renewWaitFor returns how long the worker may delay its answer to a renewal.
 func (m *Machine) renewWaitFor(w *worker) time.Duration {
+	if w.unknownRuns > 0 {
+		return m.stopTime + m.callTime // The next report shows whether the stops had an effect.
+	}
 	if len(w.criticalRuns) == 0 || len(w.bestEffortRuns) == 0 {
 		return renewWait
 	}
@@ -113,14 +116,15 @@
 
 func (m *Machine) sendRenewal(w *worker, wait time.Duration) {
 	w.renewal.seq++
-	w.renewal.inCall, w.renewal.sent, w.renewal.seen, w.renewal.waits = true, m.now, w.durable, wait > 0
+	w.renewal.inCall, w.renewal.sent, w.renewal.seen, w.renewal.wait = true, m.now, w.durable, wait
 	if !w.renewal.continuous {
 		w.renewal.seen = 0
 	}
 	o := sched.RenewOrder{Fence: m.term, Seen: w.renewal.seen, Wait: wait}
 	// The leases of an unresponsive worker are not renewed, so that they expire and
-	// its tasks can start elsewhere.
-	if w.hasClock && w.answered && !w.unresponsive(m.now) && m.mayIssueOrders {
+	// its tasks can start elsewhere. Nor are those of a worker that only has runs of
+	// unknown tasks.
+	if w.hasClock && (len(w.runs) > 0 || w.unknownRuns == 0) && w.answered && !w.unresponsive(m.now) && m.mayIssueOrders {
 		o.HasDeadline, o.Deadline = true, w.extendDeadline(m.now, m.lease)
 	}
 	timeout := answerTimeout
@@ -133,7 +137,7 @@
 // noteAnswerTime records whether a worker answers slowly. Only an answer to a
 // renewal without a wait tells.
 func (m *Machine) noteAnswerTime(w *worker, took time.Duration) {
-	if w.renewal.waits {
+	if w.renewal.wait > 0 {
 		return
 	}
 	slow := took > answerTimeout && (w.slow || w.suspected) && !m.mostAreSlow
@@ -183,7 +187,7 @@
 }
 
 // endExpiredRuns ends the runs of a worker whose latest deadline has certainly
-// passed.
+// passed before a newer leader could extend it.
 func (m *Machine) endExpiredRuns(w *worker) {
 	m.log("leases expired", "worker", w.name(), "runs", len(w.runs), "contact", w.sinceContact(m.now))
 	for _, r := range w.snapshot() {
@@ -226,7 +230,7 @@
 		m.recovery.answered(w)
 		return
 	default:
-		w.contactAt = m.now
+		w.recordContact(msg.Sent.Add(w.renewal.wait), m.now)
 		w.renewal.notBefore = m.now.Add(renewRetry)
 		return
 	}
@@ -242,7 +246,7 @@
 	}
 	wasSuspected := w.suspected
 	m.noteAnswerTime(w, m.now.Sub(msg.Sent))
-	w.recordClock(msg.Sent, m.now, rep.Clock)
+	w.recordClock(msg.Sent.Add(w.renewal.wait), m.now, rep.Clock)
 	if wasSuspected {
 		m.log("worker answers again", "worker", w.name(), "runs", len(w.runs))
 		m.stale = true
@@ -289,6 +293,7 @@
 
 func (m *Machine) applyEnd(w *worker, e sched.RunEnd) {
 	if r := w.runs[e.Run]; r != nil {
+		m.resolveTask(r)
 		m.close(r, e.How, e.Saved)
 		return
 	}
@@ -318,6 +323,7 @@
 // run. A run that a partial report does not list may still be in progress.
 func (m *Machine) applyRunReports(w *worker, sent time.Time, rep *sched.RenewReport) {
 	listed := make(map[sched.Run]bool, len(rep.Running))
+	w.unknownRuns = 0
 	for i := range rep.Running {
 		listed[rep.Running[i].Run] = true
 		m.applyRunReport(w, &rep.Running[i])
@@ -342,6 +348,7 @@
 	r := w.runs[rep.Run]
 	if r == nil {
 		if r = m.adopt(w, rep); r == nil {
+			w.unknownRuns++
 			return
 		}
 	}
--- a/pkg/sched/flow/schedule.go
+++ b/pkg/sched/flow/schedule.go
@@ -31,7 +31,7 @@
 		m.effort.Ratings, m.effort.Starts = m.ratings, p.starts
 		m.nextPass = m.now.Add(passInterval + time.Duration(m.ratings)*passIntervalPerRating)
 	}()
-	m.dropHeld()
+	p.releaseBookings()
 	steps := m.waitingSteps()
 	m.effort.Steps = len(steps)
 	for _, s := range steps {
@@ -169,11 +169,10 @@
 	unmet map[unmetRequest]sched.Resources
 	// unplaced holds the steps without enough free capacity, in order.
 	unplaced []*step
+	bookings bookings
 	// reserved means that free capacity is reserved for a gang. Short tasks that
 	// come later in the pass wait.
 	reserved bool
-	// holds counts the tasks for which the pass holds capacity.
-	holds int
 }
 
 // unmetRequest holds what a task that found no worker asked for, apart from
@@ -231,17 +230,17 @@
 			continue
 		}
 		f.waitLevel = p.m.waitLevel(t)
-		if low, tried := p.unmet[f]; tried && low.Fits(need) {
-			p.noteUnplaced(s, q)
+		if low, tried := p.unmet[f]; tried && low.Fits(need) && p.bookings.byStep[s] == 0 {
+			p.leave(s, q)
 			return
 		}
-		if t.mayBeRunning && p.m.recovery.active {
+		if t.mayBeRunning() {
 			p.m.setBlocked(s, "an earlier run may still be running")
 			continue
 		}
 		w := ranks.best(t, f.waitLevel)
 		if w == nil {
-			p.noteUnplaced(s, q)
+			p.leave(s, q)
 			if s.spec.AntiAffinity == 0 && s.spec.Affinity == "" && len(t.avoid) == 0 && !q.Advised {
 				p.unmet[f] = need
 			}
@@ -254,13 +253,11 @@
 	}
 }
 
-// noteUnplaced records that no suitable worker has enough free capacity for a step.
-func (p *pass) noteUnplaced(s *step, q sched.Queue) {
+// leave records that no worker was found for a task of a step.
+func (p *pass) leave(s *step, q sched.Queue) {
 	p.m.setBlocked(s, "no suitable worker with free capacity")
 	p.unplaced = append(p.unplaced, s)
-	if s.spec.Perpetual {
-		p.holdForAway(s, q)
-	}
+	p.bookFor(s, q)
 }
 
 // setBlocked stores why a step waits and logs a new reason once.
--- a/pkg/sched/flow/start.go
+++ b/pkg/sched/flow/start.go
@@ -83,7 +83,7 @@
 func (m *Machine) Wanted(now time.Time, worker sched.WorkerName, id sched.Run) bool {
 	m.now = now
 	w := m.workers[worker]
-	if w == nil {
+	if w == nil || m.resignation.began {
 		return false
 	}
 	r := w.runs[id]
@@ -106,7 +106,7 @@
 
 // startAccepted records that the worker has the run.
 func (m *Machine) startAccepted(r *run) {
-	r.worker.contactAt = m.now
+	r.worker.recordContact(r.lastSent, m.now)
 	r.worker.fullBackoff = 0
 	r.knownAt = m.now
 	r.task.job().started = true
--- a/pkg/sched/flow/waits.go
+++ b/pkg/sched/flow/waits.go
@@ -25,14 +25,33 @@
 	m.waitsLoggedAt = m.now
 	// A pass at the same time must not see what is cached here.
 	ratings, capacity, free := m.ratings, m.usableCapacity, m.criticalFree
+	away, booked := m.awaySums()
 	for _, t := range m.longestWaits() {
 		fits := t.step.fitsTwo
-		m.log("task waits", m.waitAttrs(t)...)
+		m.log("task waits", append(m.waitAttrs(t), "allAway", away, "allBooked", booked)...)
 		t.step.fitsTwo = fits
 	}
 	m.ratings, m.usableCapacity, m.criticalFree = ratings, capacity, free
 }
 
+// awaySums returns how many tasks have been away too long, and how many workers are
+// booked.
+func (m *Machine) awaySums() (away, booked int) {
+	for _, j := range m.live {
+		for _, t := range j.tasks() {
+			if m.awayTooLong(t) {
+				away++
+			}
+		}
+	}
+	for _, w := range m.order {
+		if w.booking.step != nil {
+			booked++
+		}
+	}
+	return away, booked
+}
+
 // longestWaits returns the first waiting task of each of the steps that have waited
 // longest.
 func (m *Machine) longestWaits() []*task {
@@ -74,7 +93,7 @@
 	capacity := m.currentCapacity()
 	out := []any{
 		"id", j.spec.ID, "task", t.name(), "waited", m.now.Sub(t.queuedAt), "reason", t.step.blocked,
-		"held", t.mayBeRunning && m.recovery.active, "perpetual", t.step.spec.Perpetual, "need", t.step.spec.Need(),
+		"held", t.mayBeRunning(), "perpetual", t.step.spec.Perpetual, "need", t.step.spec.Need(),
 		"free", capacity.free, "total", capacity.total,
 	}
 	counts := m.countUnsuitable(t, m.fleet.Queues[j.queue])
@@ -92,17 +111,18 @@
 const (
 	suitable unsuitable = iota
 	unlisted
+	draining
 	unrostered
 	unanswered
 	suspected
 	slow
-	draining
 	full
 	otherService
 	noLabel
 	tooMany
 	noTicket
 	noCapacity
+	booked
 	reserved
 	excluded
 	unsuitableReasons
@@ -111,8 +131,8 @@
 // unsuitableNames are the names of the counts in a log line. excluded stands for
 // interference, a missed target, or a rack without the data of the task.
 var unsuitableNames = [unsuitableReasons]string{
-	"suitable", "unlisted", "unrostered", "unanswered", "suspected", "slow", "draining", "full", "otherService",
-	"noLabel", "tooMany", "noTicket", "noCapacity", "reserved", "excluded",
+	"suitable", "unlisted", "draining", "unrostered", "unanswered", "suspected", "slow", "full", "otherService",
+	"noLabel", "tooMany", "noTicket", "noCapacity", "booked", "reserved", "excluded",
 }
 
 // countUnsuitable counts the workers by the first reason that applies.
@@ -129,6 +149,8 @@
 	switch {
 	case !w.listed:
 		return unlisted
+	case w.member.Draining:
+		return draining
 	case !w.rostered:
 		return unrostered
 	case !w.answered || !w.hasClock || w.replaced:
@@ -137,8 +159,6 @@
 		return suspected
 	case w.slow:
 		return slow
-	case w.member.Draining:
-		return draining
 	case !m.usable(w):
 		return full
 	case w.member.Service != q.Service:
@@ -151,6 +171,8 @@
 		return noTicket
 	case !s.Need().Fits(w.free()):
 		return noCapacity
+	case !s.Need().Fits(w.freeFor(t.step)):
+		return booked
 	}
 	if _, ok := m.score(t, w); ok {
 		return suitable
--- a/pkg/sched/flow/worker.go
+++ b/pkg/sched/flow/worker.go
@@ -33,9 +33,6 @@
 	// instead of the map keeps the machine deterministic.
 	list []*run
 	used sched.Resources
-	// held is capacity that the current pass leaves free for a task that has been
-	// away too long.
-	held sched.Resources
 	// criticalRuns holds the latency-critical runs and bestEffortRuns the
 	// best-effort runs.
 	criticalRuns, bestEffortRuns []*run
@@ -58,7 +55,7 @@
 	// if nothing more is ordered.
 	leasesExpireAt time.Time
 
-	// contactAt is when the worker last answered a call.
+	// contactAt is when the worker last answered a call, as far as is certain.
 	contactAt time.Time
 	// unansweredSince is when the first of the latest consecutive unanswered calls
 	// was noticed, zero if the last call was answered. suspected means that the
@@ -78,6 +75,11 @@
 	// reportedRuns counts the runs in the last report, and unreadable the rows of it
 	// that could not be read.
 	reportedRuns, unreadable int
+	// unknownRuns counts the runs of unknown tasks in the last report. They were
+	// ordered to stop.
+	unknownRuns int
+
+	booking booking
 
 	// fullUntil is until when a worker that refused a start for lack of capacity
 	// gets no further start.
@@ -163,10 +165,11 @@
 // leader's. It leaves a margin over the 2% that the platform states.
 const clockDrift = 1.03
 
-// recordClock stores a reading of the worker's clock from an answer to a call.
+// recordClock stores a reading of the worker's clock from an answer to a call that began
+// at sent.
 func (w *worker) recordClock(sent, now time.Time, clock time.Duration) {
-	_ = sent
-	w.contactAt, w.unansweredSince, w.suspected = now, time.Time{}, false
+	w.recordContact(sent, now)
+	w.unansweredSince, w.suspected = time.Time{}, false
 	if w.hasClock && clock < w.minClock(now) {
 		return // The answer arrived after a later one.
 	}
@@ -178,11 +181,21 @@
 	return w.clock + time.Duration(float64(now.Sub(w.clockAt))/clockDrift)
 }
 
-// extendDeadline returns the reading of the worker's clock that is one lease
-// ahead.
+// extendDeadline returns a reading of the worker's clock that is at most one lease
+// ahead, also if the clock is slow. If it is not, the lease is shorter by a part of the
+// age of the last reading.
 func (w *worker) extendDeadline(now time.Time, lease time.Duration) time.Duration {
 	w.extendExpiry(now, lease)
-	return w.clock + now.Sub(w.clockAt) + lease
+	return w.minClock(now) + lease
+}
+
+// maxClockAge is the age of the last reading of an idle worker's clock from which the
+// worker is asked for a new one. Until then a lease is at most 0.9 s shorter.
+const maxClockAge = 30 * time.Second
+
+// needsReading reports whether the worker has to be asked for a reading of its clock.
+func (w *worker) needsReading(now time.Time) bool {
+	return w.listed && w.hasClock && now.Sub(w.clockAt) > maxClockAge && now.Sub(w.renewal.sent) > maxClockAge
 }
 
 // extendExpiry records that the worker may continue its runs for one more lease,
@@ -228,7 +241,7 @@
 // setMembers applies the content of the register of workers.
 func (m *Machine) setMembers(members []sched.Member) {
 	seen := map[sched.WorkerName]bool{}
-	for _, mb := range members {
+	for _, mb := range m.withKnownService(members) {
 		seen[mb.Worker] = true
 		m.setMember(mb)
 	}
