Publish the window of starts as metrics

Cause: nothing showed whether a leader that starts tasks late keeps them back or waits for answers, nor that each start leaves the window.

Result: TestEveryStartLeavesTheWindow is new: with answers that are lost or late, and with a worker that crashes, is gone or refuses, no start is left in the window. It fails if only answered starts leave the window (two cases; the three others have all answers).

--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -266,5 +266,7 @@
 		e.stats.Gauge("TasksQueued", int64(t.Queued))
 		e.stats.Gauge("Workers", int64(t.Workers))
 		e.stats.Gauge("RecordsWaiting", int64(t.Uncommitted))
+		e.stats.Gauge("StartsUnanswered", int64(t.Unanswered))
+		e.stats.Gauge("StartWindow", int64(t.StartWindow))
 	}
 }
--- a/pkg/sched/flow/queries.go
+++ b/pkg/sched/flow/queries.go
@@ -50,6 +50,9 @@
 	Uncommitted int
 	// Recovering means that the takeover is not complete.
 	Recovering bool
+	// Unanswered counts the starts without a result, and StartWindow is how many there
+	// may be.
+	Unanswered, StartWindow int
 }
 
 // Totals returns the sums.
@@ -57,6 +60,7 @@
 	t := Totals{
 		Jobs: len(m.jobs), Live: len(m.live), Workers: len(m.order),
 		Uncommitted: len(m.commits.changed), Recovering: m.recovery.active,
+		Unanswered: m.window.ordered, StartWindow: int(m.window.size),
 	}
 	for _, w := range m.order {
 		t.Runs += len(w.runs)
--- a/pkg/sched/flow/window_test.go
+++ b/pkg/sched/flow/window_test.go
@@ -87,3 +87,26 @@
 	l.OrderCost = time.Millisecond
 	requireQuick(t, e, e.Now().Add(time.Second))
 }
+
+// Guards against starts that count as unanswered for ever, so that the window is used up.
+func TestEveryStartLeavesTheWindow(t *testing.T) {
+	for name, disturb := range map[string]func(*emul.Emulator){
+		"lost answers":   func(e *emul.Emulator) { e.LoseAnswers = 0.3 },
+		"late orders":    func(e *emul.Emulator) { e.LateShare = 0.3 },
+		"crashed worker": func(e *emul.Emulator) { e.Workers[0].Crash(time.Second) },
+		"removed worker": func(e *emul.Emulator) { e.Workers[0].Remove() },
+		"full worker":    func(e *emul.Emulator) { e.Workers[0].RefuseStarts = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			e, l := newBusyLeader(4 * time.Second)
+			e.RunFor(time.Second)
+			disturb(e)
+			e.RunFor(2 * time.Second)
+			e.LoseAnswers, e.LateShare = 0, 0
+			require.Greater(t, e.Counts["Starts"], 100)
+			requireAllEnded(t, e, 40*time.Second)
+			require.Zero(t, l.Machine.Totals().Unanswered)
+			requireNoViolations(t, e)
+		})
+	}
+}
