Let the test of odd rows wait a minute for its own server

Cause: TestOddRowHidesNoOther used the client's default timeout of 500 ms, so it failed when the machine was busy ("context deadline exceeded"; one of six processes that each ran the package 12 times side by side, with the race detector). Change: a timeout of one minute, as in the other tests of the package.

--- a/internal/fleet/odd_test.go
+++ b/internal/fleet/odd_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -43,7 +44,8 @@
 	}))
 	defer srv.Close()
 	var log strings.Builder
-	c := fleet.New(netip.MustParseAddrPort(srv.Listener.Addr().String()), fleet.WithLogger(slog.New(slog.NewTextHandler(&log, nil))))
+	c := fleet.New(netip.MustParseAddrPort(srv.Listener.Addr().String()), fleet.WithTimeout(time.Minute),
+		fleet.WithLogger(slog.New(slog.NewTextHandler(&log, nil))))
 	defer c.Close()
 	var instances []sched.Instance
 	for range 2 {
