Deliver a newer term before the jobs of the same answer

What could happen: after the store has dropped its history, a leader reads all jobs and the term again. They come in the order of their keys, so a leader that had been replaced got the jobs of the newer term first and could start tasks that the newer leader starts, too.

Cause: only a watch delivers the term and the jobs in the order of their versions.

Change: of the changes of one answer, the term comes first, then cancellations, then jobs, and nothing is delivered once the term has ended.

--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -47,23 +47,40 @@
 	}
 }
 
-// postChanges handles the changes of one answer. Cancellations come first, so that
-// no task of a job is started whose cancellation is known. progress is as in
+// postChanges handles the changes of one answer. A newer term comes first, so that
+// nothing is started that its leader may start. After it come the cancellations, so
+// that no task of a job is started whose cancellation is known. Items that are read
+// again are in the order of their keys, not of their versions. progress is as in
 // postWork.
 func (t *term) postChanges(changes []sched.Change, progress map[string]sched.Item) {
-	isCancellation := func(c sched.Change) bool {
-		_, ok := layout.CancelledJobFromKey(c.Key)
-		return ok
-	}
-	for _, cancellations := range []bool{true, false} {
+	for _, kind := range []workKind{termItem, cancellationItem, jobItem} {
 		for _, c := range changes {
-			if isCancellation(c) == cancellations {
+			if t.ctx.Err() == nil && kindOf(c) == kind {
 				t.postWork(c, progress)
 			}
 		}
 	}
 }
 
+// workKind is what an item under the work prefix holds.
+type workKind uint8
+
+const (
+	termItem workKind = iota
+	cancellationItem
+	jobItem
+)
+
+func kindOf(c sched.Change) workKind {
+	if c.Key == layout.TermKey {
+		return termItem
+	}
+	if _, ok := layout.CancelledJobFromKey(c.Key); ok {
+		return cancellationItem
+	}
+	return jobItem
+}
+
 // recordWorkRead records that all jobs and cancellations up to asked were
 // delivered.
 func (t *term) recordWorkRead(asked time.Time) {
