Add review case 1: a job with many steps stops the whole system

At fault: urgency in pkg/sched/flow/schedule.go computes the longest chain of the whole job for each waiting step. For n steps without dependencies a pass takes a time in the order of n to the fourth power, with the state machine locked.

The case: one job of 500 steps with a task each, beside 8 lasting tasks and a small job of another queue, on 8 workers.

--- a/review/standin/entry.go
+++ b/review/standin/entry.go
@@ -22,7 +22,9 @@
 const (
 	service = "commissions"
 	host    = "queue.example"
-	prefix  = "/plans/"
+	// plans and quotes are the prefixes of the two queues.
+	plans  = "/plans/"
+	quotes = "/quotes/"
 )
 
 // entry is a process of the system. It is started again whenever it ends.
@@ -194,11 +196,19 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// patience is how long clients wait for an answer.
+const patience = 3 * time.Second
+
 // call sends a client's request. The status is 0 if there is no complete answer.
-func (e *entry) call(method, id, body string) (int, string) {
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+func (e *entry) call(method, path, body string) (int, string) {
+	return e.callFor(patience, method, path, body)
+}
+
+// callFor does the same for a client that leaves after d.
+func (e *entry) callFor(d time.Duration, method, path, body string) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, e.front+prefix+id, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, e.front+path, strings.NewReader(body))
 	if err != nil {
 		return 0, ""
 	}
@@ -208,7 +218,7 @@
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
-		e.rec.line("client %s %s at %s: %v", method, id, e.name, err)
+		e.rec.line("client %s %s at %s: %v", method, path, e.name, err)
 		return 0, ""
 	}
 	defer resp.Body.Close()
@@ -216,6 +226,6 @@
 	if err != nil {
 		return 0, ""
 	}
-	e.rec.line("client %s %s at %s: %d %s", method, id, e.name, resp.StatusCode, strings.TrimSpace(string(b)))
+	e.rec.line("client %s %s at %s: %d %s", method, path, e.name, resp.StatusCode, strings.TrimSpace(string(b)))
 	return resp.StatusCode, string(b)
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,6 +18,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"strings"
 	"time"
 )
 
@@ -90,10 +91,14 @@
 // configure writes the operator's configuration, with two routes or only the second.
 func (x *scene) configure(version int, both bool) {
 	routes := []map[string]any{}
-	for _, r := range [][2]string{{"plans", prefix}, {"quotes", "/quotes/"}} {
-		if both || r[0] != "plans" {
+	for _, prefix := range []string{plans, quotes} {
+		if both || prefix != plans {
+			priority := 0
+			if prefix == plans {
+				priority = 2
+			}
 			row := map[string]any{
-				"name": r[0], "host": host, "prefix": r[1], "service": service, "timeout-ms": 3000, "priority": 0,
+				"name": strings.Trim(prefix, "/"), "host": host, "prefix": prefix, "service": service, "timeout-ms": 3000, "priority": priority,
 				"max-attempts": 3, "stretch": 2, "target-duration-ms": 1000,
 			}
 			if x.advised {
@@ -131,19 +136,30 @@
 	takes    time.Duration
 	after    []int
 	lasts    bool
+	gang     bool
+	apart    int
 }
 
-// newJob registers a job with the record and returns its id and body.
-func (x *scene) newJob(steps ...step) (id, body string) {
+// newJob registers a job of the queue plans with the record and returns its id and body.
+func (x *scene) newJob(steps ...step) (id, body string) { return x.newJobAt(plans, steps...) }
+
+// newJobAt does the same for a queue.
+func (x *scene) newJobAt(prefix string, steps ...step) (id, body string) {
 	x.nextJob++
 	id = fmt.Sprintf("5c0e7a21%08x", x.nextJob)
-	j := &jobRecord{spec: fmt.Sprintf("plan %d", x.nextJob)}
+	j := &jobRecord{spec: fmt.Sprintf("plan %d", x.nextJob), prefix: prefix}
 	var rows []map[string]any
 	for _, s := range steps {
 		row := map[string]any{"count": s.count, "cpu": s.cpu, "mem-mb": s.mem, "estimate-ms": s.takes.Milliseconds()}
 		if len(s.after) > 0 {
 			row["after"] = s.after
 		}
+		if s.gang {
+			row["gang"] = true
+		}
+		if s.apart > 0 {
+			row["anti-affinity"] = s.apart
+		}
 		takes := s.takes
 		if s.lasts {
 			row["perpetual"] = true
@@ -164,10 +180,12 @@
 
 // submit hands a job in until it is accepted.
 func (x *scene) submit(first int, id, body string) bool {
+	x.rec.mu.Lock()
+	j := x.rec.jobs[id]
+	x.rec.mu.Unlock()
 	for try := range 5 {
-		status, _ := x.entries[(first+try)%len(x.entries)].call("POST", id, body)
+		status, _ := x.entries[(first+try)%len(x.entries)].call("POST", j.prefix+id, body)
 		x.rec.mu.Lock()
-		j := x.rec.jobs[id]
 		j.answers = append(j.answers, status)
 		if status == 200 {
 			j.accepted = time.Now()
@@ -183,7 +201,10 @@
 
 // state asks an entry for the state of a job.
 func (x *scene) state(n int, id string) (int, string) {
-	status, body := x.entries[n%len(x.entries)].call("GET", id, "")
+	x.rec.mu.Lock()
+	prefix := x.rec.jobs[id].prefix
+	x.rec.mu.Unlock()
+	status, body := x.entries[n%len(x.entries)].call("GET", prefix+id, "")
 	var in struct {
 		State string `json:"state"`
 	}
@@ -222,7 +243,7 @@
 // play is a case. An error means that it could not run.
 type play func(root, record string) (*scene, error)
 
-var cases = map[string]play{"ends": playEnds, "route": playRoute, "advice": playAdvice}
+var cases = map[string]play{"ends": playEnds, "route": playRoute, "advice": playAdvice, "gangs": playGangs, "steps": playSteps, "cancel": playCancel}
 
 // limit is the longest that a case may take.
 const limit = 115 * time.Second
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -22,8 +22,9 @@
 }
 
 type jobRecord struct {
-	spec  string
-	steps []taskSpec
+	spec   string
+	prefix string
+	steps  []taskSpec
 	// answers are the statuses of the attempts to hand it in.
 	answers  []int
 	accepted time.Time
@@ -88,9 +89,10 @@
 }
 
 func (r *recorder) find(w *worker, id taskRun) *runRecord {
-	for _, x := range r.tasks[id.task] {
-		if x.worker == w && x.run == id.run {
-			return x
+	runs := r.tasks[id.task]
+	for i := len(runs) - 1; i >= 0; i-- {
+		if runs[i].worker == w && runs[i].run == id.run {
+			return runs[i]
 		}
 	}
 	return &runRecord{}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -5,7 +5,9 @@
 import (
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"net/http/httptest"
 	"sort"
 	"strconv"
 	"strings"
@@ -135,6 +137,8 @@
 	s  *store
 	mu sync.Mutex
 	f  fault
+	// lateShare is the share of the writes that are done late and not answered.
+	lateShare float64
 	// closed is closed and replaced when the fault changes, which cuts waiting watches.
 	closed chan struct{}
 }
@@ -149,6 +153,29 @@
 	d.closed = make(chan struct{})
 }
 
+// setLate sets the share of the writes that are done late.
+func (d *door) setLate(share float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lateShare = share
+}
+
+const (
+	minLateness = time.Second
+	maxLateness = 6 * time.Second
+)
+
+// late decides whether a write is done late, and waits until it is.
+func (d *door) late() bool {
+	d.mu.Lock()
+	late := rand.Float64() < d.lateShare
+	d.mu.Unlock()
+	if late {
+		time.Sleep(minLateness + rand.N(maxLateness-minLateness))
+	}
+	return late
+}
+
 func (d *door) state() (fault, chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -194,6 +221,10 @@
 			}
 		}
 	case path == "kv-txn":
+		if d.late() {
+			d.s.serveTxn(httptest.NewRecorder(), body)
+			panic(http.ErrAbortHandler)
+		}
 		d.s.serveTxn(w, body)
 	case path == "kv-lease":
 		d.s.serveGrant(w, body)
