--- a/review/standin/advice.go
+++ b/review/standin/advice.go
@@ -112,7 +112,7 @@
 // queue with advice.
 func playAdvice(root, record string) (*scene, error) {
 	const wide, narrow = 32, 3
-	x, err := newScene(root, record, 6, 48, 32000, 128000, true)
+	x, err := newScene(root, record, 6, 48, true)
 	if err != nil {
 		return x, err
 	}
@@ -127,7 +127,7 @@
 	x.rec.line("the job has one step of %d tasks", count)
 	// finish_s after the end of the traffic, nothing may be left waiting for 3 s.
 	time.Sleep(14 * time.Second)
-	_, state := x.state(1, id)
+	state := x.state(1, id)
 	ran := x.rec.done(id, 0) > 0
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		ran = ran || x.running() > 0
--- a/review/standin/cancel.go
+++ b/review/standin/cancel.go
@@ -24,7 +24,7 @@
 		lateShare = 0.35
 		span      = 4500 * time.Millisecond
 	)
-	x, err := newScene(root, record, 4, 6, 32000, 128000, false)
+	x, err := newScene(root, record, 4, 6, false)
 	if err != nil {
 		return x, err
 	}
--- a/review/standin/ends.go
+++ b/review/standin/ends.go
@@ -16,7 +16,7 @@
 		perJob   = 150
 		downtime = 3 * time.Second
 	)
-	x, err := newScene(root, record, 4, 3, 32000, 128000, false)
+	x, err := newScene(root, record, 4, 3, false)
 	if err != nil {
 		return x, err
 	}
@@ -45,7 +45,7 @@
 	wait(40*time.Second, func() bool {
 		done = 0
 		for n, id := range ids {
-			if _, state := x.state(n, id); state == "completed" {
+			if state := x.state(n, id); state == "completed" {
 				done++
 			}
 		}
--- a/review/standin/gangs.go
+++ b/review/standin/gangs.go
@@ -10,7 +10,7 @@
 // playGangs hands in gangs that have to wait for capacity, and then a small job.
 func playGangs(root, record string) (*scene, error) {
 	const workers, gangs = 8, 4
-	x, err := newScene(root, record, 4, workers, 32000, 128000, false)
+	x, err := newScene(root, record, 4, workers, false)
 	if err != nil {
 		return x, err
 	}
@@ -34,7 +34,7 @@
 	}
 	// finish_s after the end of the traffic, nothing may be left waiting for 3 s.
 	time.Sleep(14 * time.Second)
-	_, state := x.state(2, id)
+	state := x.state(2, id)
 	ran := x.rec.done(id, 0) > 0
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		ran = ran || x.running() > workers
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -36,8 +36,15 @@
 	advised bool
 }
 
+// workerCPU and workerMemory are the capacity of a worker, in thousandths of a core and
+// in MB.
+const (
+	workerCPU    = 32000
+	workerMemory = 128000
+)
+
 // newScene starts a deployment and waits until all entries are ready.
-func newScene(root, record string, entries, workers int, cpu, mem int64, advised bool) (*scene, error) {
+func newScene(root, record string, entries, workers int, advised bool) (*scene, error) {
 	dir, err := os.MkdirTemp("", "standin")
 	if err != nil {
 		return nil, err
@@ -48,7 +55,7 @@
 	}
 	s := newStore()
 	x := &scene{store: s, rec: rec, dir: dir, root: root, trouble: os.Getenv("TROUBLE") != "0", advised: advised}
-	x.fleet = &fleet{store: s, rec: rec, cpu: cpu, mem: mem, advised: advised, adviser: &adviser{rec: rec, tickets: map[string]time.Time{}}}
+	x.fleet = &fleet{store: s, rec: rec, cpu: workerCPU, mem: workerMemory, advised: advised, adviser: &adviser{rec: rec, tickets: map[string]time.Time{}}}
 	x.configure(1, true)
 	for i := range workers {
 		if _, err := x.fleet.add(fmt.Sprintf("i-%04x", 0x7f30+i)); err != nil {
@@ -200,16 +207,16 @@
 }
 
 // state asks an entry for the state of a job.
-func (x *scene) state(n int, id string) (int, string) {
+func (x *scene) state(n int, id string) string {
 	x.rec.mu.Lock()
 	prefix := x.rec.jobs[id].prefix
 	x.rec.mu.Unlock()
-	status, body := x.entries[n%len(x.entries)].call("GET", prefix+id, "")
+	_, body := x.entries[n%len(x.entries)].call("GET", prefix+id, "")
 	var in struct {
 		State string `json:"state"`
 	}
-	_ = json.Unmarshal([]byte(body), &in) // Without a state the answer counts by its status.
-	return status, in.State
+	_ = json.Unmarshal([]byte(body), &in) // Without a state it is empty.
+	return in.State
 }
 
 // running counts the runs in progress on all workers.
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -32,14 +32,12 @@
 
 // recorder writes the record and checks the rules.
 type recorder struct {
-	mu    sync.Mutex
-	out   *os.File
-	began time.Time
-	jobs  map[string]*jobRecord
-	tasks map[string][]*runRecord
-	// unasked lists starts that no client sent.
-	unasked []string
-	broken  []string
+	mu     sync.Mutex
+	out    *os.File
+	began  time.Time
+	jobs   map[string]*jobRecord
+	tasks  map[string][]*runRecord
+	broken []string
 }
 
 func newRecorder(path string) (*recorder, error) {
--- a/review/standin/route.go
+++ b/review/standin/route.go
@@ -9,7 +9,7 @@
 
 // playRoute removes a route while a job of its queue is between its steps.
 func playRoute(root, record string) (*scene, error) {
-	x, err := newScene(root, record, 3, 4, 32000, 128000, false)
+	x, err := newScene(root, record, 3, 4, false)
 	if err != nil {
 		return x, err
 	}
--- a/review/standin/steps.go
+++ b/review/standin/steps.go
@@ -10,7 +10,7 @@
 // playSteps hands in one job with many steps beside one that lasts, and then a small one.
 func playSteps(root, record string) (*scene, error) {
 	const tasks, lasting = 500, 8
-	x, err := newScene(root, record, 4, 8, 32000, 128000, false)
+	x, err := newScene(root, record, 4, 8, false)
 	if err != nil {
 		return x, err
 	}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -50,11 +50,9 @@
 	revision uint64
 	items    map[string]storeItem
 	history  []storeItem
-	// oldest is the revision up to which the history is dropped.
-	oldest  uint64
-	leases  map[int64]*storeLease
-	changed chan struct{}
-	delay   time.Duration
+	leases   map[int64]*storeLease
+	changed  chan struct{}
+	delay    time.Duration
 	// pageItems is the most items of one page.
 	pageItems int
 }
