Let only a complete report end the runs that it leaves out

Cause: a worker lists at most 500 ends in a report. While the store is down no end is acknowledged, so the list stays full, and applyRunReports took a run that was neither in progress nor listed for a lost one. The same class, read and then shown by tests: a list cut before an unreadable row looked short and accounted for the whole worker; a report without one of its lists looked empty; a new leader renewed no lease of a worker with more ends than one report lists, and asked it 500 times a second.

Only a complete report ends a run or accounts for a worker. Acceptance of the term (answered) and knowledge of all runs (accounted) are separate, so leases are renewed between. The recovery waits for the leases that this leader granted, too. A worker whose ends stay unreadable for 2 s is left to expire, since its tasks would never end otherwise.

--- a/internal/emul/emul.go
+++ b/internal/emul/emul.go
@@ -69,6 +69,9 @@
 	// their answers are lost too.
 	LoseAnswers, LateShare float64
 
+	// EndsPerReport is the most run ends that a worker lists in one report.
+	EndsPerReport int
+
 	// Violations are the broken guarantees that the oracle found, one text each.
 	Violations []string
 	// Counts holds event counters by name.
@@ -108,6 +111,9 @@
 	ackedFailures  map[sched.RunTask]int
 	succeeded      map[sched.RunTask]bool
 	failures       map[sched.RunTask]int
+	// startedAt is when each task was last started, and succeededAt when a run succeeded.
+	startedAt   map[sched.RunTask]time.Time
+	succeededAt map[sched.Run]time.Time
 }
 
 // New returns an emulator with a store and no workers.
@@ -117,7 +123,7 @@
 		byName: map[sched.WorkerName]*Worker{}, jobs: map[sched.JobID]*Job{},
 		gangs:      map[gangKey]*gang{},
 		Interferes: sameLastByte,
-		Delay:      time.Millisecond, Counts: map[string]int{},
+		Delay:      time.Millisecond, Counts: map[string]int{}, EndsPerReport: endsPerReport,
 		Fleet: &sched.FleetConfig{
 			Revision: 1,
 			Queues:   map[sched.QueueName]sched.Queue{},
@@ -128,6 +134,9 @@
 	return e
 }
 
+// endsPerReport is the default of [Emulator.EndsPerReport].
+const endsPerReport = 500
+
 // Service is the name of the service whose workers the emulator emulates.
 const Service sched.ServiceName = "Pool"
 
@@ -216,7 +225,7 @@
 	j := &Job{
 		Spec: w, Work: work, Submitted: e.now, version: e.store.nextVersion(),
 		ackedSucceeded: map[sched.RunTask]bool{}, ackedFailures: map[sched.RunTask]int{}, failures: map[sched.RunTask]int{},
-		succeeded: map[sched.RunTask]bool{},
+		succeeded: map[sched.RunTask]bool{}, startedAt: map[sched.RunTask]time.Time{}, succeededAt: map[sched.Run]time.Time{},
 	}
 	e.jobs[w.ID] = j
 	e.submitted = append(e.submitted, j)
--- a/internal/emul/execute.go
+++ b/internal/emul/execute.go
@@ -160,14 +160,15 @@
 // recorded.
 func (w *Worker) acknowledge(lastSeen uint64) {
 	for len(w.ends) > 0 && w.ends[0].Seq <= lastSeen {
-		w.e.recordAcknowledged(w.ends[0])
+		w.recordAcknowledged(w.ends[0])
 		w.ends = w.ends[1:]
 	}
 }
 
 // report returns the worker's runs and unacknowledged run ends.
 func (w *Worker) report() sched.RenewReport {
-	rep := sched.RenewReport{Clock: w.clock(), Born: w.Member.Born, Ended: append([]sched.RunEnd(nil), w.ends...)}
+	rep := sched.RenewReport{Clock: w.clock(), Born: w.Member.Born, MoreEnds: len(w.ends) >= w.e.EndsPerReport}
+	rep.Ended = append(rep.Ended, w.ends[:min(len(w.ends), w.e.EndsPerReport)]...)
 	runs := w.sortedRuns()
 	for _, r := range runs {
 		rr := sched.RunReport{Run: r.ID, Percent: r.percentDone()}
--- a/internal/emul/oracle.go
+++ b/internal/emul/oracle.go
@@ -17,6 +17,7 @@
 	e.Counts["Runs"]++
 	r.job.Runs++
 	t := r.ID.Task
+	r.job.startedAt[t] = e.now
 	if r.job.ackedSucceeded[t] {
 		e.violate("%s run %d starts on %s after its success was acknowledged", taskName(t), r.ID.Number, w.Member.Worker)
 	}
@@ -128,6 +129,7 @@
 	}
 	if how == sched.EndDone {
 		r.job.succeeded[r.ID.Task] = true
+		r.job.succeededAt[r.ID] = e.now
 		if r.gang != nil {
 			for i := range r.spec.Count {
 				t := r.ID.Task
@@ -138,8 +140,10 @@
 	}
 }
 
-// recordAcknowledged records that a leader has acknowledged the end of a run.
-func (e *Emulator) recordAcknowledged(end sched.RunEnd) {
+// recordAcknowledged records that a leader has acknowledged the end of a run. The task
+// must not have started again since a success, unless the worker's lease expired between.
+func (w *Worker) recordAcknowledged(end sched.RunEnd) {
+	e := w.e
 	j := e.jobs[end.Run.Task.Job]
 	if j == nil {
 		return
@@ -147,8 +151,13 @@
 	spec := &j.Spec.Steps[end.Run.Task.Step]
 	switch end.How {
 	case sched.EndDone:
-		if !spec.Perpetual && !spec.Speculative {
-			j.ackedSucceeded[end.Run.Task] = true
+		if spec.Perpetual || spec.Speculative {
+			return
+		}
+		j.ackedSucceeded[end.Run.Task] = true
+		at := j.succeededAt[end.Run]
+		if j.startedAt[end.Run.Task].After(at) && !w.expiredAt.After(at) && w.clock() <= w.lease {
+			e.violate("%s had succeeded on %s in run %d before its last start", taskName(end.Run.Task), w.Member.Worker, end.Run.Number)
 		}
 	case sched.EndFailed:
 		j.ackedFailures[end.Run.Task]++
--- a/internal/emul/run.go
+++ b/internal/emul/run.go
@@ -62,6 +62,9 @@
 // expired, and updates their progress otherwise.
 func (w *Worker) advance() {
 	now := w.e.now
+	if w.clock() > w.lease {
+		w.expiredAt = now
+	}
 	if len(w.runs) > 0 && w.clock() > w.lease {
 		for _, r := range w.sortedRuns() {
 			if w.runs[r.ID] == r {
--- a/internal/emul/worker.go
+++ b/internal/emul/worker.go
@@ -25,8 +25,10 @@
 	fencingToken uint64
 	// lease is the time of the worker's clock at which its lease expires.
 	lease time.Duration
-	runs  map[sched.Run]*Run
-	used  sched.Resources
+	// expiredAt is when the lease was last noticed to have expired.
+	expiredAt time.Time
+	runs      map[sched.Run]*Run
+	used      sched.Resources
 	// ends holds the run ends that the leader has not acknowledged. seq is the
 	// sequence number of the last run end.
 	ends []sched.RunEnd
--- a/pkg/sched/flow/fault_test.go
+++ b/pkg/sched/flow/fault_test.go
@@ -218,6 +218,24 @@
 	}
 }
 
+// Guards against reports that are partial during any of the failures, and that a leader
+// takes for complete ones.
+func TestFaultsWithPartialReports(t *testing.T) {
+	for _, f := range faults() {
+		t.Run(f.name, func(t *testing.T) {
+			t.Parallel()
+			e := newScenario(7, 24, 12*time.Second)
+			e.EndsPerReport = 3
+			l := e.Lead()
+			e.RunFor(5 * time.Second)
+			f.inject(e, l)
+			e.RunFor(25 * time.Second)
+			requireAllEnded(t, e, endTimeout)
+			requireNoViolations(t, e)
+		})
+	}
+}
+
 // Guards against failures that do harm only in combination. Three of them are
 // injected at random times; some are injected twice.
 func TestFaultsTogether(t *testing.T) {
--- a/pkg/sched/flow/incarnation.go
+++ b/pkg/sched/flow/incarnation.go
@@ -51,7 +51,8 @@
 		"runs", len(w.runs))
 	w.member.Born = incarnation
 	w.processed, w.durable, w.acknowledged, w.pending = 0, 0, 0, nil
-	w.hasClock, w.clock, w.answered, w.replaced, w.slow = false, 0, false, false, false
+	w.hasClock, w.clock, w.answered, w.accounted, w.replaced, w.slow = false, 0, false, false, false, false
+	w.report = reportState{}
 	w.renewal.continuous = false
 	w.quarantine = quarantine{}
 }
--- a/pkg/sched/flow/recover.go
+++ b/pkg/sched/flow/recover.go
@@ -53,11 +53,9 @@
 	return n
 }
 
-// answered records that a worker has answered in this term.
-func (r *recovery) answered(w *worker) {
-	delete(r.unanswered, w)
-	r.resolve(w)
-}
+// answered records that a worker has answered in this term, so that it rejects the
+// orders of earlier leaders.
+func (r *recovery) answered(w *worker) { delete(r.unanswered, w) }
 
 // resolve records that a worker has no runs of an earlier leader that are not known.
 func (r *recovery) resolve(w *worker) {
@@ -68,8 +66,10 @@
 	delete(r.named, w)
 }
 
-// waitsFor reports whether the recovery waits for an answer of the worker.
-func (r *recovery) waitsFor(w *worker) bool { return r.active && r.unanswered[w] }
+// waitsFor reports whether the recovery waits for a report of the worker.
+func (r *recovery) waitsFor(w *worker) bool {
+	return r.active && (r.unanswered[w] || r.mayHaveRuns(w))
+}
 
 // takeOver begins to ask every worker for its runs. Only workers of the roster can
 // have runs. Without a roster this is unknown, and all workers may have some.
@@ -177,12 +177,17 @@
 }
 
 // expiresAt returns when the leases on a worker have expired that an earlier leader
-// granted, or the zero time while that is not known.
+// granted, or the zero time while that is not known. This leader may have extended them
+// if the worker has answered, but has more ends than it could list so far.
 func (r *recovery) expiresAt(w *worker) time.Time {
-	if at, ok := r.expiry[w]; ok {
-		return at
+	at, ok := r.expiry[w]
+	if !ok {
+		at = r.until
+	}
+	if !at.IsZero() && w.answered && w.leasesExpireAt.After(at) {
+		return w.leasesExpireAt
 	}
-	return r.until
+	return at
 }
 
 // orderLifetime returns how long the orders of an earlier leader may have an effect
--- a/pkg/sched/flow/recoverylog.go
+++ b/pkg/sched/flow/recoverylog.go
@@ -80,6 +80,9 @@
 		case w.member.Draining:
 			state = "draining"
 		}
+		if w.answered {
+			state += "+partial"
+		}
 		names = append(names, string(w.name())+":"+state)
 	}
 	return strings.Join(names, ",")
--- a/pkg/sched/flow/renewal.go
+++ b/pkg/sched/flow/renewal.go
@@ -24,9 +24,9 @@
 	// end is recorded. After it the leases are renewed without acknowledging the end.
 	// The worker answers such a renewal at once, because it has that end to report.
 	maxCommitWait = 300 * time.Millisecond
-	// unreadableRenewPause is the pause after a report with rows that cannot be read.
-	// The worker lists these rows again at once.
-	unreadableRenewPause = 400 * time.Millisecond
+	// partialRenewPause is the pause after a partial report that tells nothing new. The
+	// worker would give the same report again at once.
+	partialRenewPause = 400 * time.Millisecond
 	// answerTimeout is how long an answer to a renewal may take, without its wait.
 	// slowAnswerTimeout applies to a worker that did not answer in that time. Its
 	// leases are renewed only if its answers arrive, so a worker that is slow to
@@ -35,8 +35,6 @@
 	slowAnswerTimeout = 1200 * time.Millisecond
 	// slowRenewPause is the pause between renewals of a worker that answers slowly.
 	slowRenewPause = 400 * time.Millisecond
-	// maxEndsPerReport is the most ends that one report lists.
-	maxEndsPerReport = 500
 )
 
 // renewalState is the state of a worker's lease renewals. At most one renewal
@@ -52,8 +50,6 @@
 	seen uint64
 	// wait is how long the worker may delay its answer to the renewal in progress.
 	wait time.Duration
-	// more means that the worker may have more ends than its last report listed.
-	more bool
 	// continuous means that the last renewal was answered. Only then are ends
 	// acknowledged. After a failed call another incarnation may answer, and an
 	// acknowledgement meant for the previous one would drop ends of the new one.
@@ -82,7 +78,7 @@
 		if m.now.Sub(w.renewal.doneAt) > maxCommitWait {
 			m.sendRenewal(w, 0)
 		}
-	case w.renewal.more:
+	case w.report.partial || !w.accounted:
 		m.sendRenewal(w, 0)
 	case (w.suspected || w.slow) && (len(w.runs) > 0 || w.listed):
 		m.sendRenewal(w, 0)
@@ -121,10 +117,7 @@
 		w.renewal.seen = 0
 	}
 	o := sched.RenewOrder{Fence: m.term, Seen: w.renewal.seen, Wait: wait}
-	// The leases of an unresponsive worker are not renewed, so that they expire and
-	// its tasks can start elsewhere. Nor are those of a worker that only has runs of
-	// unknown tasks.
-	if w.hasClock && (len(w.runs) > 0 || w.unknownRuns == 0) && w.answered && !w.unresponsive(m.now) && m.mayIssueOrders {
+	if m.mayRenewLeases(w) {
 		o.HasDeadline, o.Deadline = true, w.extendDeadline(m.now, m.lease)
 	}
 	timeout := answerTimeout
@@ -134,6 +127,15 @@
 	m.emit(RenewCmd{Member: w.member, Order: o, Seq: w.renewal.seq, Timeout: timeout})
 }
 
+// mayRenewLeases reports whether a renewal extends the worker's leases. Those of an
+// unresponsive worker, and of one whose ends stay unreadable, are left to expire, so that
+// its tasks can start elsewhere. Those of a worker that only has runs of unknown tasks
+// are not renewed either.
+func (m *Machine) mayRenewLeases(w *worker) bool {
+	return w.hasClock && (len(w.runs) > 0 || w.unknownRuns == 0) && w.answered && !w.unresponsive(m.now) &&
+		!w.report.endsLost(m.now) && m.mayIssueOrders
+}
+
 // noteAnswerTime records whether a worker answers slowly. Only an answer to a
 // renewal without a wait tells.
 func (m *Machine) noteAnswerTime(w *worker, took time.Duration) {
@@ -228,6 +230,7 @@
 			m.close(r, sched.EndWorkerGone, "")
 		}
 		m.recovery.answered(w)
+		m.recovery.resolve(w)
 		return
 	default:
 		w.recordContact(msg.Sent.Add(w.renewal.wait), m.now)
@@ -237,139 +240,5 @@
 	m.applyReport(w, msg)
 }
 
-// applyReport applies a worker's report of its runs and run ends.
-func (m *Machine) applyReport(w *worker, msg RenewResultMsg) {
-	rep := &msg.Report
-	if !m.confirmIncarnation(w, rep.Born) {
-		w.renewal.notBefore = m.now.Add(renewRetry)
-		return
-	}
-	wasSuspected := w.suspected
-	m.noteAnswerTime(w, m.now.Sub(msg.Sent))
-	w.recordClock(msg.Sent.Add(w.renewal.wait), m.now, rep.Clock)
-	if wasSuspected {
-		m.log("worker answers again", "worker", w.name(), "runs", len(w.runs))
-		m.stale = true
-	}
-	w.renewal.continuous = true
-	w.acknowledged = max(w.acknowledged, w.renewal.seen)
-	w.renewal.more, w.reportedRuns = len(rep.Ended) >= maxEndsPerReport, len(rep.Running)
-	first := !w.answered
-	m.applyEnds(w, rep.Ended)
-	m.applyRunReports(w, msg.Sent, rep)
-	m.notePartialReport(w, rep.Unreadable)
-	if first {
-		// An earlier leader may have set a deadline this far ahead.
-		w.extendExpiry(m.now, m.maxLease)
-	}
-	if first && !w.renewal.more {
-		w.answered, w.answeredAt = true, m.now
-		m.recovery.answered(w)
-		m.noteAnswer(w)
-		m.endRecovery()
-		m.stale = true
-	}
-	m.learnFromTails(w)
-	m.adjustThrottles(w)
-	m.maintainWorker(w)
-}
-
-// applyEnds applies the run ends that are new, in order. Those of a job with changes
-// that are not durable are acknowledged only afterwards, even if they change nothing
-// themselves: the next leader knows the job only as it is recorded.
-func (m *Machine) applyEnds(w *worker, ends []sched.RunEnd) {
-	for _, e := range ends {
-		if e.Seq <= w.processed {
-			continue
-		}
-		w.processed = e.Seq
-		before := m.commits.lastChange
-		m.applyEnd(w, e)
-		if m.commits.lastChange != before || len(w.pending) > 0 || m.hasUnrecordedChange(e.Run.Task.Job) {
-			w.pending = append(w.pending, pendingEnd{seq: e.Seq, change: m.commits.lastChange})
-		} else {
-			w.durable = e.Seq
-		}
-	}
-}
-
-func (m *Machine) applyEnd(w *worker, e sched.RunEnd) {
-	if r := w.runs[e.Run]; r != nil {
-		m.resolveTask(r)
-		m.close(r, e.How, e.Saved)
-		return
-	}
-	t := m.task(e.Run.Task)
-	if t == nil {
-		return
-	}
-	m.log("end of an untracked run", "id", t.job().spec.ID, "task", t.name(), "run", e.Run.Number, "worker", w.name(), "how", e.How)
-	m.noteAway(t)
-	m.taskEnded(t, w, e.Run.Number, e.How, e.Saved)
-}
-
-// notePartialReport logs that rows of a report could not be read. The worker
-// lists these rows again at once, so the next renewal is put off.
-func (m *Machine) notePartialReport(w *worker, unreadable int) {
-	if unreadable != w.unreadable {
-		m.log("report has rows that cannot be read", "worker", w.name(), "addr", w.member.Addr, "rows", unreadable,
-			"before", w.unreadable)
-	}
-	w.unreadable = unreadable
-	if unreadable > 0 {
-		w.renewal.notBefore = m.now.Add(unreadableRenewPause)
-	}
-}
-
-// applyRunReports compares what the worker runs with what it is expected to
-// run. A run that a partial report does not list may still be in progress.
-func (m *Machine) applyRunReports(w *worker, sent time.Time, rep *sched.RenewReport) {
-	listed := make(map[sched.Run]bool, len(rep.Running))
-	w.unknownRuns = 0
-	for i := range rep.Running {
-		listed[rep.Running[i].Run] = true
-		m.applyRunReport(w, &rep.Running[i])
-	}
-	if rep.Unreadable > 0 {
-		return
-	}
-	for _, r := range w.snapshot() {
-		if listed[r.id()] {
-			continue
-		}
-		started := !r.knownAt.IsZero() && r.knownAt.Before(sent)
-		stopped := !r.stopKnownAt.IsZero() && r.stopKnownAt.Before(sent)
-		if started || stopped {
-			m.close(r, sched.EndWorkerGone, "")
-		}
-	}
-}
-
-// applyRunReport applies the report of one run.
-func (m *Machine) applyRunReport(w *worker, rep *sched.RunReport) {
-	r := w.runs[rep.Run]
-	if r == nil {
-		if r = m.adopt(w, rep); r == nil {
-			w.unknownRuns++
-			return
-		}
-	}
-	if r.firstReportAt.IsZero() {
-		r.firstPercent, r.firstReportAt = rep.Percent, m.now
-	}
-	if rep.Percent != r.percent || rep.Saved != r.checkpoint {
-		r.progressedAt = m.now
-	}
-	r.checkpoint, r.percent, r.load, r.reportedAt = rep.Saved, rep.Percent, rep.Load, m.now
-	if r.knownAt.IsZero() {
-		r.knownAt = m.now
-	}
-	r.task.job().started = true
-	if r.state == runStarting {
-		r.state = runRunning
-	}
-	m.checkThrottle(r)
-}
-
 // notCarriedOut reports whether a failed call was certainly not carried out.
 func notCarriedOut(err error) bool { return errors.Is(err, sched.ErrUnavailable) }
--- a/pkg/sched/flow/roster.go
+++ b/pkg/sched/flow/roster.go
@@ -40,8 +40,8 @@
 // leaders, has reported that it holds no run and no end, and gets no starts. The next
 // leader then does not wait for it.
 func (m *Machine) mayLeaveOut(w *worker) bool {
-	return w.answered && !w.replaced && (!w.listed || w.member.Draining) &&
-		len(w.runs) == 0 && w.reportedRuns == 0 && w.unreadable == 0 && !w.renewal.more && w.processed == w.acknowledged
+	return w.accounted && !w.replaced && (!w.listed || w.member.Draining) &&
+		len(w.runs) == 0 && w.report.runs == 0 && !w.report.partial && w.processed == w.acknowledged
 }
 
 // sendRoster records the workers that may be given orders once the record is
--- a/pkg/sched/flow/waits.go
+++ b/pkg/sched/flow/waits.go
@@ -153,7 +153,7 @@
 		return draining
 	case !w.rostered:
 		return unrostered
-	case !w.answered || !w.hasClock || w.replaced:
+	case !w.accounted || !w.hasClock || w.replaced:
 		return unanswered
 	case w.suspected:
 		return suspected
--- a/pkg/sched/flow/worker.go
+++ b/pkg/sched/flow/worker.go
@@ -23,6 +23,9 @@
 	// answeredAt is when it first did.
 	answered   bool
 	answeredAt time.Time
+	// accounted means that the worker has since given a complete report, so that all
+	// its runs and ends are known.
+	accounted bool
 	// replaced means that another incarnation answered at the worker's address.
 	replaced bool
 	// claim is what is known about the truth of member.Born.
@@ -72,9 +75,7 @@
 	processed, durable, acknowledged uint64
 	pending                          []pendingEnd
 
-	// reportedRuns counts the runs in the last report, and unreadable the rows of it
-	// that could not be read.
-	reportedRuns, unreadable int
+	report reportState
 	// unknownRuns counts the runs of unknown tasks in the last report. They were
 	// ordered to stop.
 	unknownRuns int
@@ -237,8 +238,8 @@
 
 // usable reports whether new runs may be placed on the worker.
 func (m *Machine) usable(w *worker) bool {
-	return w.listed && w.rostered && w.answered && w.hasClock && !w.replaced && !w.suspected && !w.slow &&
-		!w.member.Draining && !m.now.Before(w.fullUntil)
+	return w.listed && w.rostered && w.accounted && w.hasClock && !w.replaced && !w.suspected && !w.slow &&
+		w.report.endsUnreadableSince.IsZero() && !w.member.Draining && !m.now.Before(w.fullUntil)
 }
 
 // setMembers applies the content of the register of workers.
@@ -277,7 +278,7 @@
 		m.log("worker draining", "worker", mb.Worker, "draining", mb.Draining, "left", mb.DrainLeft, "runs", len(w.runs))
 	}
 	if mb.Addr != w.member.Addr {
-		w.replaced, w.answered = false, false
+		w.replaced, w.answered, w.accounted = false, false, false
 		w.rostered, m.roster.dirty = false, true
 	}
 	w.member = mb
--- a/pkg/sched/orders.go
+++ b/pkg/sched/orders.go
@@ -178,9 +178,8 @@
 	Saved string
 }
 
-// RenewReport answers a RenewOrder. Unreadable counts the rows of the report that
-// could not be read. If it is not 0, Running lacks runs that the worker has, and
-// Ended holds only the ends before the first unreadable one.
+// RenewReport answers a RenewOrder. Either list may be partial: that a run is in
+// neither of them means something only if the report is [RenewReport.Complete].
 type RenewReport struct {
 	Refusal OrderRefusal
 	Clock   time.Duration
@@ -188,9 +187,19 @@
 	Running []RunReport
 	Ended   []RunEnd
 
-	Unreadable int
+	// Unreadable counts the rows that could not be read, and UnreadableEnds those of
+	// them that are run ends. A missing list counts as one row. Running lacks the runs
+	// of such rows, and Ended holds only the ends before the first unreadable one.
+	Unreadable, UnreadableEnds int
+	// MoreEnds means that the worker may have more ends than one report lists. It
+	// lists them once these are acknowledged.
+	MoreEnds bool
 }
 
+// Complete reports whether the lists have every run of the worker that is in progress
+// and every end that was not acknowledged.
+func (r *RenewReport) Complete() bool { return r.Unreadable == 0 && !r.MoreEnds }
+
 // Orders sends the leader's orders to workers. An order that fails with
 // [ErrUnavailable] is not carried out. One that fails with [ErrLost] may have
 // been carried out, or may still be carried out seconds later.
