Record the cancellation of a job that is not in the store

Cause: Cancel returned 410 from the job's state and recorded nothing. The write of the job had an unknown outcome, and its condition still held when the store carried it out.

Change: the cancellation is recorded whatever the state is, before the 410. The record is in the store, so it holds if all entries are killed.

--- a/internal/emul/store.go
+++ b/internal/emul/store.go
@@ -336,6 +336,11 @@
 		l.advise(cmd)
 	case flow.CommitCmd:
 		l.e.commit(l, cmd)
+	case flow.ForgetCancelsCmd:
+		// Every job of the emulator is stored before it is cancelled.
+		l.e.After(storeDelay, func() {
+			l.post(flow.ForgotCancelsMsg{Jobs: cmd.Jobs, Stored: cmd.Jobs, Err: sched.ErrConflict})
+		})
 	case flow.HandoverCmd:
 		l.handOver(cmd)
 	case flow.LostCmd:
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -6,6 +6,9 @@
 // cannot reach the store asks other entries to record the job. A request whose
 // outcome is unknown is refused with [sched.Unknown], never with [sched.NotRun].
 //
+// A cancellation is recorded under a key of its own, also for a job that is not in the
+// store: the write of that job may still take effect, and must not start anything then.
+//
 // # Usage
 //
 //	s := jobs.New(store, leader, peers, jobs.WithLogger(log))
@@ -19,6 +22,8 @@
 	"math/rand/v2"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/mangoslip/mangoslip/internal/guard"
 	"github.com/mangoslip/mangoslip/internal/layout"
 	"github.com/mangoslip/mangoslip/internal/relay"
@@ -86,6 +91,8 @@
 	ended  *stateCache
 	// adviser is asked on behalf of other entries; nil if there is none.
 	adviser sched.Adviser
+	// unknownCancels limits the cancellations of jobs that are not in the store.
+	unknownCancels *rate.Limiter
 }
 
 // Option changes a setting of a [Service].
@@ -101,7 +108,7 @@
 func New(store sched.MetadataStore, leader Leadership, peers Peers, opts ...Option) *Service {
 	s := &Service{
 		store: store, leader: leader, peers: peers, log: slog.New(slog.DiscardHandler), now: time.Now,
-		ended: newStateCache(stateCacheSize),
+		ended: newStateCache(stateCacheSize), unknownCancels: rate.NewLimiter(unknownCancelsPerSecond, unknownCancelsBurst),
 	}
 	for _, o := range opts {
 		o(s)
@@ -124,15 +131,6 @@
 	return s.record(ctx, layout.JobKey(w.ID), value, relay.Question{Verb: relay.VerbSubmit, Job: w.ID, Workflow: w})
 }
 
-// Cancel implements [sched.JobService].
-func (s *Service) Cancel(ctx context.Context, id sched.JobID) error {
-	if _, err := s.State(ctx, id); err != nil {
-		return err
-	}
-	return s.record(ctx, layout.CancelKey(id), layout.Encode(s.now().UnixMilli()),
-		relay.Question{Verb: relay.VerbCancel, Job: id})
-}
-
 // result is the outcome of writing a record, either directly to the store or
 // through other entries.
 type result struct {
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -195,6 +195,8 @@
 	case flow.CommitCmd:
 		t.l.stats.Count("Commits", 1)
 		t.effect("commit", func() { t.commit(cmd) })
+	case flow.ForgetCancelsCmd:
+		t.effect("forget cancellations", func() { t.forgetCancels(cmd) })
 	case flow.HandoverCmd:
 		t.effect("hand over", func() { t.handOver(cmd) })
 	case flow.LostCmd:
--- a/pkg/sched/flow/accept.go
+++ b/pkg/sched/flow/accept.go
@@ -19,6 +19,7 @@
 		j.acceptedAt = m.now.Add(-age)
 	}
 	m.jobs[id] = j
+	cancel, cancelled := m.cancels.take(id)
 	if msg.Progress != nil {
 		if err := m.restoreProgress(j, msg.Progress); err != nil {
 			m.log("stored progress is damaged; the job starts over", "id", id, "error", err)
@@ -31,8 +32,8 @@
 	m.log("job added", "id", id, "queue", j.queue, "steps", len(j.spec.Steps),
 		"age", m.now.Sub(j.acceptedAt), "inherited", j.inherited, "version", j.version)
 	m.live = append(m.live, j)
-	if recorded, cancelled := m.cancels[id]; cancelled {
-		m.cancelJob(id, recorded)
+	if cancelled {
+		m.cancelJob(id, cancel.recorded)
 		return
 	}
 	if j.spec.Repeat > 0 {
--- a/pkg/sched/flow/finish.go
+++ b/pkg/sched/flow/finish.go
@@ -1,10 +1,6 @@
 package flow
 
-import (
-	"time"
-
-	"github.com/mangoslip/mangoslip/pkg/sched"
-)
+import "github.com/mangoslip/mangoslip/pkg/sched"
 
 // taskDone records the success of a task.
 func (m *Machine) taskDone(t *task) {
@@ -91,21 +87,6 @@
 	}
 }
 
-// cancelJob cancels a job that has not ended. A cancellation of an unknown job
-// is kept until the job arrives. recorded is as in [CancelMsg].
-func (m *Machine) cancelJob(id sched.JobID, recorded int64) {
-	j := m.jobs[id]
-	if j == nil {
-		m.cancels[id] = recorded
-		return
-	}
-	if j.state.Final() {
-		return
-	}
-	m.log("cancellation takes effect", "id", id, "delay", time.Duration(m.wallMillis(m.now)-recorded)*time.Millisecond)
-	m.endJob(j, sched.JobCancelled, "cancelled by its owner")
-}
-
 // dropEndedJobs removes jobs that ended longer ago than the retention time.
 func (m *Machine) dropEndedJobs() {
 	for id, j := range m.jobs {
@@ -116,6 +97,5 @@
 			continue
 		}
 		delete(m.jobs, id)
-		delete(m.cancels, id)
 	}
 }
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -65,9 +65,8 @@
 	// have occurrences left to open.
 	live      []*job
 	repeating []*job
-	// cancels holds cancellations that arrived before their job, with the time at
-	// which they were recorded.
-	cancels map[sched.JobID]int64
+	// cancels holds cancellations that arrived before their job.
+	cancels cancellations
 
 	// workers holds the workers by name, order in the order in which they were
 	// added.
@@ -146,7 +145,7 @@
 		term:               term,
 		fleet:              &sched.FleetConfig{},
 		jobs:               map[sched.JobID]*job{},
-		cancels:            map[sched.JobID]int64{},
+		cancels:            cancellations{byJob: map[sched.JobID]cancellation{}},
 		workers:            map[sched.WorkerName]*worker{},
 		mayIssueOrders:     true,
 		knowledgeIsCurrent: true,
@@ -226,6 +225,8 @@
 		m.handleCommitted(msg)
 	case CommitFailedMsg:
 		m.handleCommitFailed(msg)
+	case ForgotCancelsMsg:
+		m.handleForgotCancels(msg)
 	case ResignMsg:
 		m.resign(msg)
 	}
@@ -244,6 +245,7 @@
 	m.stopStalled()
 	m.consolidate()
 	m.dropEndedJobs()
+	m.forgetCancels()
 	m.maintainRoster()
 	m.logRecovery()
 	m.logWaits()
