Size calls to the adviser so that tickets are valid when they arrive

Cause: a call named 30 workers whatever the adviser takes for each. The class is a retry that repeats what cannot succeed.

Change: a call names as many workers as have a valid ticket when the answer arrives, by the configured times, and no more than the waiting tasks need. The number halves when answers are late all the same. The margin of a ticket is at most a third of its validity. Wide gangs use several calls at once, so that the tickets of all members are valid together. Tickets that cannot be used as valid from the question are tried as valid from the answer; the worker's reply decides, and a queue on which no number of workers works says so and asks no more. A call waits for a free entry in the leader instead of at the adviser, and its timeout doubles with each failure in a row. Steps whose calls led to no start come after the others.

--- a/internal/emul/advice.go
+++ b/internal/emul/advice.go
@@ -17,13 +17,19 @@
 	// Decide is the base time of an answer. Each is the additional time for
 	// every worker that the question names.
 	Decide, Each time.Duration
-	// Valid is how long a ticket is valid.
-	Valid time.Duration
+	// Valid is how long a ticket is valid, from the answer or, with FromQuestion, from
+	// when its question was taken up.
+	Valid        time.Duration
+	FromQuestion bool
 	// Down means that the adviser answers no calls.
 	Down bool
 
-	// freeAt is when the adviser has handled all earlier questions.
-	freeAt time.Time
+	// Desks is how many questions are handled at the same time, each on behalf of
+	// another entry; 0 counts as 1.
+	Desks int
+
+	// freeAt is when each desk has handled its earlier questions.
+	freeAt []time.Time
 	// tickets holds the expiry of each ticket.
 	tickets map[string]time.Time
 }
@@ -48,7 +54,25 @@
 	return ok && o.Ticket == ticketOf(step, w) && !w.e.now.After(until)
 }
 
-// advise answers a question to the adviser, which handles one at a time.
+// nextDesk returns the desk that is free first.
+func (a *Adviser) nextDesk(now time.Time) *time.Time {
+	for len(a.freeAt) < max(a.Desks, 1) {
+		a.freeAt = append(a.freeAt, now)
+	}
+	next := &a.freeAt[0]
+	for i := range a.freeAt {
+		if a.freeAt[i].Before(*next) {
+			next = &a.freeAt[i]
+		}
+	}
+	if next.Before(now) {
+		*next = now
+	}
+	return next
+}
+
+// advise answers a question to the adviser. A question waits for a free desk, and counts
+// as sent then.
 func (l *Leader) advise(cmd flow.AdviseCmd) {
 	e, a, sent := l.e, &l.e.Adviser, l.e.now
 	e.Counts["Advice"]++
@@ -59,11 +83,14 @@
 		})
 		return
 	}
-	if a.freeAt.Before(e.now) {
-		a.freeAt = e.now
+	free := a.nextDesk(e.now)
+	sent = *free
+	*free = free.Add(a.Decide + time.Duration(len(cmd.Request.Workers))*a.Each)
+	answered := *free
+	if a.FromQuestion {
+		answered = sent
 	}
-	a.freeAt = a.freeAt.Add(a.Decide + time.Duration(len(cmd.Request.Workers))*a.Each)
-	e.After(a.freeAt.Sub(e.now)+2*e.Delay, func() {
+	e.After(free.Sub(e.now)+2*e.Delay, func() {
 		out := sched.Advice{Tickets: map[sched.WorkerName]string{}, Valid: a.Valid}
 		for _, name := range cmd.Request.Workers {
 			if w := e.byName[name]; w != nil && a.permits(cmd.Request.Step, name) {
@@ -71,7 +98,7 @@
 				if a.tickets == nil {
 					a.tickets = map[string]time.Time{}
 				}
-				a.tickets[out.Tickets[name]] = e.now.Add(a.Valid)
+				a.tickets[out.Tickets[name]] = answered.Add(a.Valid)
 			}
 		}
 		l.post(flow.AdviseResultMsg{Request: cmd.Request, Sent: sent, Advice: out})
--- a/internal/leader/send.go
+++ b/internal/leader/send.go
@@ -87,11 +87,10 @@
 	sent := t.l.now()
 	msg := flow.AdviseResultMsg{Request: cmd.Request, Sent: sent, Err: errNoAdviser}
 	if t.l.adviser != nil {
-		ctx, cancel := context.WithTimeout(t.ctx, cmd.Within)
-		defer cancel()
-		msg.Advice, msg.Err = t.l.adviser.Advise(ctx, cmd.Request)
+		msg.Advice, msg.Err = t.l.adviser.Advise(t.ctx, cmd.Request)
+		msg.Sent = sent.Add(msg.Advice.Waited)
 	}
-	t.l.stats.Observe("AdviceSeconds", t.l.now().Sub(sent))
+	t.l.stats.Observe("AdviceSeconds", t.l.now().Sub(msg.Sent))
 	t.post(msg)
 }
 
--- a/pkg/sched/advice.go
+++ b/pkg/sched/advice.go
@@ -16,6 +16,8 @@
 type AdviceRequest struct {
 	Step    StepRef
 	Workers []WorkerName
+	// Timeout bounds the call, from when the adviser is asked.
+	Timeout time.Duration
 }
 
 // Advice answers an AdviceRequest.
@@ -26,6 +28,8 @@
 	Tickets map[WorkerName]string
 	// Valid is how long the tickets may be used.
 	Valid time.Duration
+	// Waited is how long the request waited before the adviser was asked.
+	Waited time.Duration
 }
 
 // Adviser answers which workers may run the steps of advised queues (see
--- a/pkg/sched/flow/advice.go
+++ b/pkg/sched/flow/advice.go
@@ -1,38 +1,33 @@
 package flow
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/mangoslip/mangoslip/pkg/sched"
 )
 
 const (
-	// minAdviceWorkers and maxAdviceWorkers bound the workers that one call names.
-	// The adviser takes longer for each worker, and every call has a fixed cost.
-	minAdviceWorkers = 6
-	maxAdviceWorkers = 30
-	// maxAdviceCalls bounds the calls in progress. The adviser handles one call of
-	// an entry at a time, and the calls are distributed over a few entries.
-	maxAdviceCalls = 4
 	// adviceRetry is the pause of a step after a failed call.
 	adviceRetry = 200 * time.Millisecond
-	// ticketMargin is the part of a ticket's validity that is reserved for the
-	// delivery of the start.
-	ticketMargin = 300 * time.Millisecond
 	// initialPermittedShare is the share of workers that the adviser is expected
 	// to permit before any answer arrived. permittedShareWeight is the weight of
-	// one answer in the moving average.
+	// one answer in the moving average, and minPermittedShare its lower bound.
 	initialPermittedShare = 0.4
 	permittedShareWeight  = 0.2
+	minPermittedShare     = 1.0 / maxAdviceWorkers
 )
 
 // advice holds the adviser's decisions for one step.
 type advice struct {
 	decisions map[*worker]decision
-	inCall    bool
-	notBefore time.Time
+	// asked holds the workers that calls in progress name, and calls counts these
+	// calls.
+	asked map[*worker]bool
+	calls int
+	// fruitless counts the calls that ended since a task of the step was last started,
+	// and failures the calls that failed in a row.
+	fruitless, failures int
+	notBefore           time.Time
 }
 
 // decision is the adviser's answer for one worker.
@@ -41,19 +36,18 @@
 	incarnation int64
 	permitted   bool
 	ticket      string
-	until       time.Time
+	// until is until when the ticket is used. doubtful means that it may have expired
+	// before, because it is not known from when its validity counts.
+	until    time.Time
+	doubtful bool
 }
 
 // AdviseCmd asks the adviser which workers may run a step. The runner answers
 // with an AdviseResultMsg.
-type AdviseCmd struct {
-	Request sched.AdviceRequest
-	// Within is the timeout of the call.
-	Within time.Duration
-}
+type AdviseCmd struct{ Request sched.AdviceRequest }
 
-// AdviseResultMsg answers an AdviseCmd. Sent is when the call was sent. The
-// validity of the tickets counts from then.
+// AdviseResultMsg answers an AdviseCmd. Sent is when the adviser was asked, after
+// any wait for earlier calls.
 type AdviseResultMsg struct {
 	Request sched.AdviceRequest
 	Sent    time.Time
@@ -61,14 +55,21 @@
 	Err     error
 }
 
+// decisionFor returns the decision for a worker if there is one for its present
+// incarnation.
+func (a *advice) decisionFor(w *worker) (decision, bool) {
+	d, known := a.decisions[w]
+	return d, known && d.incarnation == w.member.Born
+}
+
 // ticket returns a ticket for running the step on the worker, and whether there
 // is a valid one.
 func (s *step) ticket(w *worker, now time.Time) (string, bool) {
 	if s.advice == nil {
 		return "", false
 	}
-	d := s.advice.decisions[w]
-	if !d.permitted || d.incarnation != w.member.Born || !now.Before(d.until.Add(-ticketMargin)) {
+	d, known := s.advice.decisionFor(w)
+	if !known || !d.permitted || !now.Before(d.until) {
 		return "", false
 	}
 	return d.ticket, true
@@ -84,96 +85,10 @@
 	return ok
 }
 
-// askAdvice asks the adviser which workers may run a step that has waiting
-// tasks.
-func (m *Machine) askAdvice(s *step, q sched.Queue) {
-	if s.advice == nil {
-		s.advice = &advice{decisions: map[*worker]decision{}}
-	}
-	a := s.advice
-	if a.inCall || m.adviceCalls >= maxAdviceCalls || m.now.Before(a.notBefore) {
-		return
-	}
-	names := m.adviceCandidates(s, q)
-	if len(names) == 0 {
-		return
-	}
-	a.inCall = true
-	m.adviceCalls++
-	takes := q.Advice.Decide + time.Duration(len(names))*q.Advice.Each
-	m.emit(AdviseCmd{
-		Request: sched.AdviceRequest{Step: s.ref(), Workers: names}, Within: adviceSlack*takes + adviceCallOverhead,
-	})
-}
-
-const (
-	// adviceSlack is how many times longer than configured an answer may take, and
-	// adviceCallOverhead the time allowed in addition for the network.
-	adviceSlack        = 2
-	adviceCallOverhead = 500 * time.Millisecond
-)
-
 func (s *step) ref() sched.StepRef {
 	return sched.StepRef{Job: s.occ.job.spec.ID, Occurrence: s.occ.index, Step: s.index}
 }
 
-// candidate is a worker that the adviser may be asked about.
-type candidate struct {
-	w     *worker
-	score float64
-}
-
-// permittedBeforeBonus outweighs every other part of the score. A worker that
-// was permitted before certainly gets a new ticket.
-const permittedBeforeBonus = 1000
-
-// adviceCandidates returns the workers to ask about: first those that were
-// permitted before, then those that suit the step best. A worker without enough
-// free capacity is rated like a quarantined one. It returns as many as are
-// likely to be needed.
-func (m *Machine) adviceCandidates(s *step, q sched.Queue) []sched.WorkerName {
-	t := s.firstQueued()
-	if t == nil {
-		return nil
-	}
-	var all []candidate
-	for _, w := range m.order {
-		d, known := s.advice.decisions[w]
-		refused := known && !d.permitted && d.incarnation == w.member.Born
-		if _, has := s.ticket(w, m.now); has || refused || !m.permittedByStep(t, w, q) {
-			continue
-		}
-		score, ok := m.score(t, w)
-		if !ok {
-			score = -remotePenalty
-		}
-		if !s.spec.Need().Fits(w.free()) {
-			score -= quarantinePenalty
-		}
-		if known && d.permitted {
-			score += permittedBeforeBonus
-		}
-		all = append(all, candidate{w, score})
-	}
-	slices.SortStableFunc(all, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
-	n := min(max(int(float64(s.queued)/m.permittedShare), minAdviceWorkers), maxAdviceWorkers)
-	names := make([]sched.WorkerName, 0, n)
-	for _, c := range all[:min(n, len(all))] {
-		names = append(names, c.w.name())
-	}
-	return names
-}
-
-// firstQueued returns the step's first task that waits for a worker, or nil.
-func (s *step) firstQueued() *task {
-	for _, t := range s.tasks {
-		if t.phase == phaseQueued {
-			return t
-		}
-	}
-	return nil
-}
-
 // handleAdvice handles the adviser's answer.
 func (m *Machine) handleAdvice(msg AdviseResultMsg) {
 	m.adviceCalls--
@@ -183,12 +98,26 @@
 		return
 	}
 	a := s.advice
-	a.inCall = false
+	a.calls--
+	for _, name := range msg.Request.Workers {
+		delete(a.asked, m.workers[name])
+	}
 	if msg.Err != nil {
+		a.failures++
 		a.notBefore = m.now.Add(adviceRetry)
-		m.log("adviser call failed", "id", msg.Request.Step.Job, "step", s.index, "asked", len(msg.Request.Workers), "error", msg.Err)
+		m.log("adviser call failed", "id", msg.Request.Step.Job, "step", s.index, "asked", len(msg.Request.Workers),
+			"failures", a.failures, "timeout", msg.Request.Timeout, "error", msg.Err)
 		return
 	}
+	a.failures = 0
+	a.fruitless++
+	queue := s.occ.job.queue
+	limit := m.adviceLimit(queue)
+	if msg.Advice.Valid == 0 {
+		msg.Advice.Valid = m.fleet.Queues[queue].Advice.Valid
+	}
+	until, doubtful := limit.judge(msg, m.now, a.fruitless)
+	m.learnPermittedShare(a, msg)
 	for _, name := range msg.Request.Workers {
 		w := m.workers[name]
 		if w == nil {
@@ -196,13 +125,44 @@
 		}
 		ticket, permitted := msg.Advice.Tickets[name]
 		a.decisions[w] = decision{
-			incarnation: w.member.Born, permitted: permitted, ticket: ticket, until: msg.Sent.Add(msg.Advice.Valid),
+			incarnation: w.member.Born, permitted: permitted, ticket: ticket, until: until, doubtful: doubtful,
 		}
 	}
-	share := float64(len(msg.Advice.Tickets)) / float64(max(len(msg.Request.Workers), 1))
-	m.permittedShare = max(m.permittedShare+permittedShareWeight*(share-m.permittedShare), 1.0/maxAdviceWorkers)
 	m.log("adviser answered", "id", msg.Request.Step.Job, "step", s.index, "asked", len(msg.Request.Workers),
-		"permitted", len(msg.Advice.Tickets), "valid", msg.Advice.Valid, "took", m.now.Sub(msg.Sent))
+		"permitted", len(msg.Advice.Tickets), "valid", msg.Advice.Valid, "took", m.now.Sub(msg.Sent),
+		"left", until.Sub(m.now), "doubtful", doubtful, "workersPerCall", limit.workers, "callsAtOnce", limit.calls)
+}
+
+// learnPermittedShare learns which share of the workers the adviser permits. Workers on
+// which it has decided before say nothing, since its decision for a step does not change.
+func (m *Machine) learnPermittedShare(a *advice, msg AdviseResultMsg) {
+	asked, permitted := 0, 0
+	for _, name := range msg.Request.Workers {
+		if w := m.workers[name]; w == nil || a.knows(w) {
+			continue
+		}
+		asked++
+		if _, ok := msg.Advice.Tickets[name]; ok {
+			permitted++
+		}
+	}
+	if asked == 0 {
+		return
+	}
+	share := float64(permitted) / float64(asked)
+	m.permittedShare = max(m.permittedShare+permittedShareWeight*(share-m.permittedShare), minPermittedShare)
+}
+
+// expire ends the use of a ticket that a worker refused. The decision stays.
+func (a *advice) expire(w *worker) {
+	d := a.decisions[w]
+	d.until = time.Time{}
+	a.decisions[w] = d
+}
+
+func (a *advice) knows(w *worker) bool {
+	_, known := a.decisionFor(w)
+	return known
 }
 
 // stepOf returns a step by its name, or nil if it is unknown or its job has
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -109,6 +109,7 @@
 	// average of the share of workers that the adviser permits.
 	adviceCalls    int
 	permittedShare float64
+	adviceLimits   map[sched.QueueName]*adviceLimit
 
 	// loaded means that everything durable has been delivered. Before that no
 	// worker is asked for its runs, because known and unknown runs could not be
@@ -147,6 +148,7 @@
 		jobs:               map[sched.JobID]*job{},
 		cancels:            cancellations{byJob: map[sched.JobID]cancellation{}},
 		workers:            map[sched.WorkerName]*worker{},
+		adviceLimits:       map[sched.QueueName]*adviceLimit{},
 		mayIssueOrders:     true,
 		knowledgeIsCurrent: true,
 
--- a/pkg/sched/flow/gang.go
+++ b/pkg/sched/flow/gang.go
@@ -74,7 +74,7 @@
 		number = max(number, p.m.nextNumber(t))
 	}
 	if q.Advised {
-		defer p.m.askAdvice(s, q)
+		p.advised = append(p.advised, advisedStep{s, q})
 	}
 	if p.m.now.Sub(s.searchedAt) < gangSearchInterval {
 		p.reserveForGang(s, q)
--- a/pkg/sched/flow/schedule.go
+++ b/pkg/sched/flow/schedule.go
@@ -34,6 +34,7 @@
 	p.releaseBookings()
 	steps := m.waitingSteps()
 	m.effort.Steps = len(steps)
+	defer p.askAdvice()
 	for _, s := range steps {
 		p.placeStep(s)
 		if p.starts >= p.maxStarts {
@@ -169,6 +170,8 @@
 	unmet map[unmetRequest]sched.Resources
 	// unplaced holds the steps without enough free capacity, in order.
 	unplaced []*step
+	// advised holds the steps of queues with an adviser.
+	advised  []advisedStep
 	bookings bookings
 	// reserved means that free capacity is reserved for a gang. Short tasks that
 	// come later in the pass wait.
@@ -221,7 +224,7 @@
 	}
 	need := s.spec.Need()
 	if q.Advised {
-		defer p.m.askAdvice(s, q)
+		p.advised = append(p.advised, advisedStep{s, q})
 	}
 	ranks := ranking{m: p.m, q: q}
 	f.away = !p.m.awayLongest(s).IsZero()
--- a/pkg/sched/flow/start.go
+++ b/pkg/sched/flow/start.go
@@ -27,6 +27,10 @@
 	r.tries++
 	m.window.ordered++
 	ticket, _ := r.task.step.ticket(w, m.now)
+	if a := r.task.step.advice; a != nil {
+		r.doubtfulTicket = a.decisions[w].doubtful
+		a.fruitless = 0
+	}
 	order := sched.StartOrder{
 		Run: r.id(), Text: r.task.job().spec.Text, Deadline: w.extendDeadline(m.now, m.lease),
 		Fence: m.term, Saved: r.resumedFrom, Ticket: ticket,
@@ -113,6 +117,7 @@
 	if r.state == runStarting {
 		r.state = runRunning
 	}
+	m.noteDoubtfulTicket(r, true)
 	m.maintainWorker(r.worker)
 }
 
@@ -132,8 +137,9 @@
 	case sched.OrderOtherIncarnation:
 		w.replaced = true
 	case sched.OrderNoTicket:
+		m.noteDoubtfulTicket(r, false)
 		if a := r.task.step.advice; a != nil {
-			delete(a.decisions, w)
+			a.expire(w)
 		}
 	case sched.OrderStaleRun:
 		if r.tries > 1 {
