Do not repeat a record that the store refuses

Cause: recordInStore repeated a write until its outcome was known, also one that the store refuses for good, such as a value that is too large. The caller waited until its timeout and was answered 504 (unknown).

Change: a refused write ends the attempts. The outcome is NotRun, unless an earlier attempt may have taken effect.

Result: TestRefusedRecordIsNotRepeated fails before (the outcome is unknown, at the timeout) and passes now.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -213,6 +213,9 @@
 		switch {
 		case err == nil, errors.Is(err, sched.ErrConflict):
 			return result{} // Written by this call or by an earlier one.
+		case errors.Is(err, sched.ErrRefused):
+			// The store would refuse the same write again.
+			return result{err: err, unknown: unknown}
 		case errors.Is(err, sched.ErrUnavailable) && !unknown:
 			return result{err: err}
 		case !errors.Is(err, sched.ErrUnavailable):
