Let a leader load for as long as pages of the state arrive

Cause: a leader gave its term up if the stored state was not loaded after 15 s.

Change: Range notes each page that arrives (sched.WithPageNote), and the 15 s count from the last one.

Result: TestLongLoadIsNotGivenUp fails before with a load of 16 s (the job has not ended after 21 s) and passes now with 14, 16 and 60 s.

--- a/internal/leader/contact.go
+++ b/internal/leader/contact.go
@@ -17,6 +17,8 @@
 	// the jobs and cancellations that the state machine knows, registerReadAt that
 	// of the most recent read of the register of workers.
 	workReadAt, registerReadAt time.Time
+	// pageReadAt is when the last page of the stored state arrived.
+	pageReadAt time.Time
 	// renewedSince is since when each renewal of the leader's lease has succeeded,
 	// zero if the last one failed. renewedAt is when the last one was sent.
 	renewedSince, renewedAt time.Time
@@ -54,6 +56,23 @@
 	return c.workReadAt, c.registerReadAt
 }
 
+// pageRead records that a page of the stored state has arrived.
+func (c *contact) pageRead(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pageReadAt = now
+}
+
+// lastPage returns when the last page of the stored state arrived, or began if none has.
+func (c *contact) lastPage(began time.Time) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pageReadAt.After(began) {
+		return c.pageReadAt
+	}
+	return began
+}
+
 // renewed records whether the leader's lease was renewed by a call that began at
 // asked. After a suspension of the process, longer than the time to live of the
 // lease, the lease counts as renewed since then.
--- a/internal/leader/reading.go
+++ b/internal/leader/reading.go
@@ -17,7 +17,8 @@
 // read reads the items under a prefix.
 func (t *term) read(prefix string) (reading, error) {
 	asked := t.l.now()
-	items, version, err := t.l.store.Range(t.ctx, prefix, false)
+	ctx := sched.WithPageNote(t.ctx, func() { t.contact.pageRead(t.l.now()) })
+	items, version, err := t.l.store.Range(ctx, prefix, false)
 	return reading{items, version, asked}, err
 }
 
--- a/internal/leader/silent_test.go
+++ b/internal/leader/silent_test.go
@@ -320,6 +320,24 @@
 	})
 }
 
+// Guards against leaders that give up loading a long list, one after the other, although
+// each of its pages arrives.
+func TestLongLoadIsNotGivenUp(t *testing.T) {
+	for _, load := range []time.Duration{14 * time.Second, 16 * time.Second, time.Minute} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, 0, time.Second)
+			defer c.stopAll()
+			c.submit("1")
+			client := c.addEntry("a").client
+			client.SetAnswerDelay(layout.WorkPrefix, load)
+			time.Sleep(time.Second)
+			client.SetAnswerDelay("", 0) // Only the read in progress is long.
+			c.requireDone("1", load+5*time.Second)
+			require.False(t, strings.Contains(c.log.String(), "term is given up"), "load of %s", load)
+		})
+	}
+}
+
 // Guards against a leader that resigns after an outage because it reads later than it renews its lease.
 func TestLeaderStaysAfterOutage(t *testing.T) {
 	for step := range 40 {
--- a/internal/leader/unread.go
+++ b/internal/leader/unread.go
@@ -10,8 +10,8 @@
 	// work or the register of workers. Shorter disturbances end by themselves, and
 	// another leader costs a takeover.
 	maxUnreadTime = 5 * time.Second
-	// maxLoadTime is the same for loading the stored state, which may have many
-	// pages.
+	// maxLoadTime is the same for loading the stored state, without another page of it.
+	// However many pages there are, each next leader would have to read as many.
 	maxLoadTime = 15 * time.Second
 	// unreadPause is how long an entry that gave up a term because of that does not
 	// campaign, so that an entry that can read leads next.
@@ -39,7 +39,7 @@
 	t.l.mu.Lock()
 	loaded := t.loaded
 	t.l.mu.Unlock()
-	since, limit := t.started, maxLoadTime
+	since, limit := t.contact.lastPage(t.started), maxLoadTime
 	if loaded {
 		since, limit = earlier(t.contact.reads()), maxUnreadTime
 	}
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -58,6 +58,8 @@
 const (
 	// callDelay is how long a call takes.
 	callDelay = 2 * time.Millisecond
+	// pageDelay is how long one page of a delayed range takes.
+	pageDelay = 500 * time.Millisecond
 	// answerTimeout is how long a client waits for an answer that does not come.
 	// The wait of a watch is added to it.
 	answerTimeout = time.Second
@@ -203,7 +205,11 @@
 	at, delay := c.version, c.answerDelayOf(prefix)
 	c.mu.Unlock()
 	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
-	time.Sleep(delay)
+	// A delayed answer stands for a list with many pages.
+	for ; delay > 0; delay -= pageDelay {
+		time.Sleep(min(delay, pageDelay))
+		sched.NotePage(ctx)
+	}
 	return out, at, nil
 }
 
