Count the calls of the fake adviser without a race

The product is not affected.

Change: the counter is atomic.

Result: go test -race ./internal/daemon passes.

--- a/internal/daemon/advice_test.go
+++ b/internal/daemon/advice_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,10 +15,10 @@
 )
 
 // slowAdviser takes one second for each call and counts the calls.
-type slowAdviser struct{ asked int }
+type slowAdviser struct{ asked atomic.Int32 }
 
 func (a *slowAdviser) Advise(ctx context.Context, _ sched.AdviceRequest) (sched.Advice, error) {
-	a.asked++
+	a.asked.Add(1)
 	time.Sleep(time.Second)
 	if ctx.Err() != nil {
 		return sched.Advice{}, ctx.Err()
@@ -37,7 +38,7 @@
 			_, err := l.Advise(t.Context(), sched.AdviceRequest{})
 			require.NoError(t, err)
 		}
-		require.Equal(t, 2*adviceConcurrency, a.asked)
+		require.EqualValues(t, 2*adviceConcurrency, a.asked.Load())
 		require.Empty(t, l.busy)
 	})
 }
@@ -76,7 +77,7 @@
 			}()
 		}
 		time.Sleep(500 * time.Millisecond)
-		require.Equal(t, 1, a.asked, "one call at a time")
+		require.EqualValues(t, 1, a.asked.Load(), "one call at a time")
 		time.Sleep(time.Minute)
 		require.Len(t, answers, adviceConcurrency)
 		for i := range adviceConcurrency {
