--- a/internal/emul/advice.go
+++ b/internal/emul/advice.go
@@ -85,7 +85,14 @@
 	}
 	free := a.nextDesk(e.now)
 	sent = *free
-	*free = free.Add(a.Decide + time.Duration(len(cmd.Request.Workers))*a.Each)
+	takes := a.Decide + time.Duration(len(cmd.Request.Workers))*a.Each
+	*free = free.Add(takes)
+	if timeout := cmd.Request.Timeout; timeout > 0 && takes > timeout {
+		e.After(sent.Add(timeout).Sub(e.now), func() {
+			l.post(flow.AdviseResultMsg{Request: cmd.Request, Sent: sent, Err: sched.ErrLost})
+		})
+		return
+	}
 	answered := *free
 	if a.FromQuestion {
 		answered = sent
--- a/internal/leader/cancel_test.go
+++ b/internal/leader/cancel_test.go
@@ -50,6 +50,23 @@
 	}
 }
 
+// Guards against a cancellation that is removed although its job is stored. The leader
+// does not know that job, because its record is damaged, but a later build may read it.
+func TestCancellationOfAStoredJobIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, time.Second)
+		defer c.stopAll()
+		c.store.Put(layout.JobKey("damaged"), []byte("damaged"))
+		time.Sleep(time.Second)
+		c.cancelUnknown("damaged")
+		c.cancelUnknown("unknown")
+		time.Sleep(150 * time.Second)
+		require.Equal(t, 1, c.cancelRecords())
+		_, err := c.store.Client().Get(t.Context(), layout.CancelKey("damaged"))
+		require.NoError(t, err)
+	})
+}
+
 // Guards against cancellations of unknown jobs that stay in the store and in memory for
 // ever, and against one that is removed although its job is there.
 func TestCancellationsOfUnknownJobsAreRemoved(t *testing.T) {
--- a/pkg/sched/flow/advicetimes_test.go
+++ b/pkg/sched/flow/advicetimes_test.go
@@ -122,10 +122,17 @@
 // Guards against calls that always fail because the adviser takes longer than the
 // configuration says, and the timeout stays the same.
 func TestAdviserIsSlowerThanConfigured(t *testing.T) {
-	e := wideSteps(adviceTimes{20 * time.Millisecond, 2 * time.Millisecond, 3 * time.Second}, 4, 1, wideStep)
-	e.Adviser.Decide, e.Adviser.Each = 500*time.Millisecond, 150*time.Millisecond
-	requireAllEnded(t, e, 30*time.Second)
-	requireNoViolations(t, e)
+	for _, fromQuestion := range []bool{false, true} {
+		t.Run(fmt.Sprint(fromQuestion), func(t *testing.T) {
+			// Only two of the tasks fit on one worker, so that a call names many.
+			step := wideStep
+			step.AntiAffinity = 2
+			e := wideSteps(adviceTimes{20 * time.Millisecond, 2 * time.Millisecond, 3 * time.Second}, 4, 1, step)
+			e.Adviser.Decide, e.Adviser.Each, e.Adviser.FromQuestion = 500*time.Millisecond, 150*time.Millisecond, fromQuestion
+			requireAllEnded(t, e, 30*time.Second)
+			requireNoViolations(t, e)
+		})
+	}
 }
 
 // Guards against steps without free capacity that keep the adviser from the others.
