Learn from expired tickets only, and use a ticket long enough for a pass

A start with a ticket that had lost its margin but not its validity was accepted, and that was taken for proof that the validity counts from the answer; later calls then named so many workers that all tickets had expired, and nothing led back. And a ticket that arrived with 50 ms left was not used, because the next pass came later. With an adviser of 2,950 ms and 20 ms a worker, and tickets valid for 3 s from the question, a step never started. A call of one worker also named a full one again and again, because the adviser had permitted it before.

Change: only a start that was sent after the ticket had expired by the certain reading teaches something. A refusal counts for 30 s, since it may have another cause. Such tickets are tried on one worker first, and one call at a time until the reading is known. A ticket is used for 150 ms at least, at the expense of its margin. Workers that were permitted before come first only if they have free capacity.

--- a/pkg/sched/flow/advice.go
+++ b/pkg/sched/flow/advice.go
@@ -36,10 +36,9 @@
 	incarnation int64
 	permitted   bool
 	ticket      string
-	// until is until when the ticket is used. doubtful means that it may have expired
-	// before, because it is not known from when its validity counts.
-	until    time.Time
-	doubtful bool
+	// until is until when the ticket is used, and certainUntil until when it is valid if
+	// that counts from the question.
+	until, certainUntil time.Time
 }
 
 // AdviseCmd asks the adviser which workers may run a step. The runner answers
@@ -116,21 +115,30 @@
 	if msg.Advice.Valid == 0 {
 		msg.Advice.Valid = m.fleet.Queues[queue].Advice.Valid
 	}
-	until, doubtful := limit.judge(msg, m.now, a.fruitless)
+	until := limit.judge(msg, m.now, a.fruitless)
+	certainUntil := msg.Sent.Add(msg.Advice.Valid)
 	m.learnPermittedShare(a, msg)
+	// Tickets that may have expired are tried on one worker first.
+	probe := limit.countsFrom == fromQuestion && !m.now.Before(certainUntil) && !s.spec.Gang
+	probed := false
 	for _, name := range msg.Request.Workers {
 		w := m.workers[name]
 		if w == nil {
 			continue
 		}
 		ticket, permitted := msg.Advice.Tickets[name]
-		a.decisions[w] = decision{
-			incarnation: w.member.Born, permitted: permitted, ticket: ticket, until: until, doubtful: doubtful,
+		d := decision{
+			incarnation: w.member.Born, permitted: permitted, ticket: ticket, until: until, certainUntil: certainUntil,
 		}
+		if probe && probed {
+			d.until = certainUntil
+		}
+		probed = probed || permitted
+		a.decisions[w] = d
 	}
 	m.log("adviser answered", "id", msg.Request.Step.Job, "step", s.index, "asked", len(msg.Request.Workers),
 		"permitted", len(msg.Advice.Tickets), "valid", msg.Advice.Valid, "took", m.now.Sub(msg.Sent),
-		"left", until.Sub(m.now), "doubtful", doubtful, "workersPerCall", limit.workers, "callsAtOnce", limit.calls)
+		"left", until.Sub(m.now), "certain", certainUntil.Sub(m.now), "workersPerCall", limit.workers, "callsAtOnce", limit.calls)
 }
 
 // learnPermittedShare learns which share of the workers the adviser permits. Workers on
--- a/pkg/sched/flow/advicelimit.go
+++ b/pkg/sched/flow/advicelimit.go
@@ -20,9 +20,14 @@
 	// ticketUse is how much of a ticket's validity should be left when it arrives. The
 	// tasks wait for it, and a pass starts a part of them.
 	ticketUse = 500 * time.Millisecond
+	// ticketLeast is how long a ticket is used at least, at the expense of the margin, so
+	// that a pass takes place meanwhile.
+	ticketLeast = 150 * time.Millisecond
 	// doubtAfter is after how many calls in a row without a start tickets are used that
 	// may have expired.
 	doubtAfter = 3
+	// doubtPause is how long no such ticket is used after a worker has refused one.
+	doubtPause = 30 * time.Second
 	// adviceGrowth is the share by which the workers that one call names grow again
 	// with each answer that arrives in time.
 	adviceGrowth = 4
@@ -34,8 +39,10 @@
 type adviceLimit struct {
 	// workers bounds the workers that one call names, and calls the calls at once.
 	workers, calls int
-	// countsFrom is from when the validity of tickets counts.
-	countsFrom validityStart
+	// countsFrom is from when the validity of tickets counts. fromQuestionOnly holds
+	// until doubtAgainAt.
+	countsFrom   validityStart
+	doubtAgainAt time.Time
 }
 
 // validityStart says from when the validity of a ticket counts.
@@ -47,7 +54,8 @@
 	// fromAnswer is known once a worker has accepted a ticket that would have expired
 	// otherwise.
 	fromAnswer
-	// fromQuestionOnly is known once a worker has refused such a ticket.
+	// fromQuestionOnly is assumed for doubtPause after a worker has refused such a
+	// ticket. The refusal may have another cause, such as a start that was held up.
 	fromQuestionOnly
 )
 
@@ -62,6 +70,9 @@
 		l = newAdviceLimit()
 		m.adviceLimits[q] = l
 	}
+	if l.countsFrom == fromQuestionOnly && !m.now.Before(l.doubtAgainAt) {
+		l.countsFrom = fromQuestion
+	}
 	return l
 }
 
@@ -70,14 +81,33 @@
 	return valid - min(ticketMargin, valid/3)
 }
 
-// arrivesInTime reports whether a call that names one worker has an answer before its
-// ticket expires, by the configured times.
+// hopeless reports whether no call can have an answer before its tickets expire, by the
+// configured times.
+func (l *adviceLimit) hopeless(t sched.AdviceTimes) bool {
+	return l.countsFrom == fromQuestionOnly && t.Valid > 0 && t.Decide+t.Each >= t.Valid
+}
+
+// arrivesInTime reports whether a call that names one worker has an answer while its
+// ticket can be used, by the configured times.
 func (l *adviceLimit) arrivesInTime(t sched.AdviceTimes) bool {
 	return t.Valid == 0 || l.countsFrom == fromAnswer || t.Decide+t.Each < usableFor(t.Valid)
 }
 
+// atOnce returns how many calls may be in progress for the steps of the queue. As long as
+// it is not known whether any ticket can be used, one call at a time finds that out. A
+// gang needs tickets of several calls for that.
+func (l *adviceLimit) atOnce(x advisedStep) int {
+	if l.arrivesInTime(x.q.Advice) || x.s.spec.Gang {
+		return l.calls
+	}
+	return 1
+}
+
 // perCall returns how many workers a call may name.
 func (l *adviceLimit) perCall(t sched.AdviceTimes) int {
+	if !l.arrivesInTime(t) && l.countsFrom == fromQuestionOnly {
+		return 1
+	}
 	if !l.arrivesInTime(t) {
 		return min(l.workers, minAdviceWorkers)
 	}
@@ -89,29 +119,33 @@
 	return min(l.workers, max(int((takes-t.Decide)/t.Each), 1))
 }
 
-// judge returns until when the tickets of an answer are used, and whether they may
-// expire before. It adapts the limit to whether the tickets arrived in time. fruitless is
-// how many calls in a row led to no start.
-func (l *adviceLimit) judge(msg AdviseResultMsg, now time.Time, fruitless int) (until time.Time, doubtful bool) {
+// judge returns until when the tickets of an answer are used. It adapts the limit to
+// whether the tickets arrived in time. fruitless is how many calls in a row led to no
+// start.
+func (l *adviceLimit) judge(msg AdviseResultMsg, now time.Time, fruitless int) (until time.Time) {
 	usable := usableFor(msg.Advice.Valid)
 	if l.countsFrom == fromAnswer {
 		l.inTime()
-		return now.Add(usable), false
+		return now.Add(usable)
 	}
 	until = msg.Sent.Add(usable)
-	inTime := now.Before(until)
+	certain := msg.Sent.Add(msg.Advice.Valid)
+	asked := len(msg.Request.Workers)
 	switch {
 	case len(msg.Advice.Tickets) == 0:
-		return until, false
-	case inTime:
+		return until
+	case now.Before(until):
 		l.inTime()
-	default:
-		l.late(len(msg.Request.Workers))
+	case asked > 1 || !now.Before(certain):
+		l.late(asked)
+	}
+	if l.countsFrom == fromQuestion && (!now.Before(certain) || fruitless > doubtAfter) {
+		return now.Add(usable)
 	}
-	if l.countsFrom == fromQuestion && (!inTime || fruitless > doubtAfter) {
-		return now.Add(usable), true
+	if until.Sub(now) < ticketLeast {
+		until = now.Add(min(ticketLeast, certain.Sub(now)))
 	}
-	return until, false
+	return until
 }
 
 // late makes calls smaller, or fewer if they name one worker each.
@@ -129,16 +163,20 @@
 }
 
 // noteDoubtfulTicket learns from when the validity of tickets counts, from what a worker
-// said to a start with a doubtful one.
+// said to a start that was sent after the ticket had expired, if that counts from the
+// question.
 func (m *Machine) noteDoubtfulTicket(r *run, accepted bool) {
 	l := m.adviceLimit(r.task.job().queue)
-	if !r.doubtfulTicket || l.countsFrom != fromQuestion {
-		return
-	}
-	l.countsFrom = fromQuestionOnly
-	if accepted {
+	before := l.countsFrom
+	switch {
+	case !r.doubtfulTicket:
+	case !accepted:
+		l.countsFrom, l.doubtAgainAt = fromQuestionOnly, m.now.Add(doubtPause)
+	case before == fromQuestion:
 		l.countsFrom = fromAnswer
 	}
-	m.log("validity of tickets is known", "queue", r.task.job().queue, "fromAnswer", accepted,
-		"id", r.task.job().spec.ID, "task", r.task.name(), "worker", r.worker.name())
+	if l.countsFrom != before {
+		m.log("validity of tickets is known", "queue", r.task.job().queue, "fromAnswer", accepted,
+			"id", r.task.job().spec.ID, "task", r.task.name(), "worker", r.worker.name())
+	}
 }
--- a/pkg/sched/flow/adviceplan.go
+++ b/pkg/sched/flow/adviceplan.go
@@ -54,10 +54,10 @@
 // askAdvice asks the adviser which workers may run a step, and reports whether it did.
 func (m *Machine) askAdvice(x advisedStep) bool {
 	a, limit := x.s.advice, m.adviceLimit(x.q.Name)
-	if m.adviceCalls >= limit.calls || m.now.Before(a.notBefore) {
+	if m.adviceCalls >= limit.atOnce(x) || m.now.Before(a.notBefore) {
 		return false
 	}
-	if limit.countsFrom == fromQuestionOnly && !limit.arrivesInTime(x.q.Advice) {
+	if limit.hopeless(x.q.Advice) {
 		m.setBlocked(x.s, "tickets expire before the adviser answers")
 		return false
 	}
@@ -90,7 +90,8 @@
 }
 
 // permittedBeforeBonus outweighs every other part of the score. A worker that
-// was permitted before certainly gets a new ticket.
+// was permitted before certainly gets a new ticket. It is of use only if there is free
+// capacity, or else a small call would name nothing but full workers.
 const permittedBeforeBonus = 1000
 
 // adviceCandidates returns at most limit workers to ask about: as many as are likely to
@@ -169,7 +170,7 @@
 		c.places *= m.permittedShare
 	case s.spec.Gang:
 		c.score -= permittedBeforeBonus
-	default:
+	case c.places > 0:
 		c.score += permittedBeforeBonus
 	}
 	return c
--- a/pkg/sched/flow/advicetimes_test.go
+++ b/pkg/sched/flow/advicetimes_test.go
@@ -42,6 +42,8 @@
 		"as in the review":     {200 * time.Millisecond, 100 * time.Millisecond, 3 * time.Second},
 		"long decide":          {2 * time.Second, 20 * time.Millisecond, 3 * time.Second},
 		"decide of one margin": {2600 * time.Millisecond, 50 * time.Millisecond, 3 * time.Second},
+		"decide in the margin": {2750 * time.Millisecond, 20 * time.Millisecond, 3 * time.Second},
+		"decide until the end": {2950 * time.Millisecond, 20 * time.Millisecond, 3 * time.Second},
 		"long each":            {100 * time.Millisecond, time.Second, 3 * time.Second},
 		"short each":           {20 * time.Millisecond, 2 * time.Millisecond, 3 * time.Second},
 		"short validity":       {100 * time.Millisecond, 100 * time.Millisecond, 500 * time.Millisecond},
--- a/pkg/sched/flow/run.go
+++ b/pkg/sched/flow/run.go
@@ -54,7 +54,8 @@
 	// and the processors in use, in thousandths, of any other.
 	load     float64
 	throttle throttle
-	// doubtfulTicket means that the start had a ticket that may have expired.
+	// doubtfulTicket means that the start was sent with a ticket that has expired, unless
+	// its validity counts from the answer.
 	doubtfulTicket bool
 	// firstPercent is the progress in the first report, which arrived at
 	// firstReportAt.
--- a/pkg/sched/flow/start.go
+++ b/pkg/sched/flow/start.go
@@ -28,7 +28,7 @@
 	m.window.ordered++
 	ticket, _ := r.task.step.ticket(w, m.now)
 	if a := r.task.step.advice; a != nil {
-		r.doubtfulTicket = a.decisions[w].doubtful
+		r.doubtfulTicket = ticket != "" && m.now.After(a.decisions[w].certainUntil)
 		a.fruitless = 0
 	}
 	order := sched.StartOrder{
