--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -294,9 +294,6 @@
 	Estimate  int   `json:"estimate-ms"`
 	After     []int `json:"after,omitempty"`
 	Perpetual bool  `json:"perpetual,omitempty"`
-	Gang      bool  `json:"gang,omitempty"`
-	// AntiAffinity bounds the tasks of the step on one worker.
-	AntiAffinity int `json:"anti-affinity,omitempty"`
 }
 
 // taskNames returns the names of the tasks of a step.
