--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of the cases 6 to 10 start. The build of the deploy
+# Builds the stand-ins that the scripts of the cases 6 and 9 start. The build of the deploy
 # file comes before it.
 set -euo pipefail
 cd "$(dirname "$0")/.."
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -50,14 +50,16 @@
 	world    *world
 	born     time.Time
 
-	mu      sync.Mutex
-	fence   uint64
-	lease   time.Time
-	runs    map[string]*run
-	closed  map[string]uint64
-	ended   [][]any
-	seq     uint64
-	changed chan struct{}
+	mu    sync.Mutex
+	fence uint64
+	lease time.Time
+	// lapsedAt is when the lease was last seen to have ended.
+	lapsedAt time.Time
+	runs     map[string]*run
+	closed   map[string]uint64
+	ended    [][]any
+	seq      uint64
+	changed  chan struct{}
 }
 
 func newWorker(w *world, id string) *worker {
@@ -101,6 +103,9 @@
 // advance ends the runs whose time is over, and all runs when the lease has ended.
 func (w *worker) advance() {
 	now := time.Now()
+	if now.After(w.lease) {
+		w.lapsedAt = now
+	}
 	for _, r := range w.runs {
 		switch {
 		case now.After(w.lease):
