Evacuate data centres

Operators of some deployments take whole data centres out of service by writing a key to the store. Workers of an evacuated data centre are not usable: they get no starts, ordered starts are withdrawn or not repeated, and runs in progress continue. Workers that are slow after their start come after others of the same suitability.

--- a/cmd/mangoslip/serve.go
+++ b/cmd/mangoslip/serve.go
@@ -141,14 +141,7 @@
 		NewFront: func(jobs sched.JobService) http.Handler {
 			return front.New(jobs, config.Load, front.WithObserver(recordRequests(log, st)))
 		},
-		Leader: leader.Settings{
-			Processors: s.Processors, MembersPrefix: fleet.MembersPrefix, DecodeMembers: fleet.DecodeMembers,
-			MachineOptions: []flow.Option{
-				flow.WithLease(c.lease, s.MaxLease), flow.WithStopTime(s.StopTime), flow.WithMaxMiss(s.MaxTargetMiss, s.ThrottleTime),
-				flow.WithRemoteFactor(s.RemoteDataFactor), flow.WithResumeTime(s.ResumeTime), flow.WithCancelTime(s.CancelTime),
-				flow.WithDrainTime(s.DrainTime),
-			},
-		},
+		Leader: c.leaderSettings(),
 	}, daemon.WithLogger(log), daemon.WithStats(st))
 	log.Info("starting", "dataCentre", s.DataCentre, "front", s.Front, "peer", s.Address, "store", s.StoreAddr,
 		"processors", s.Processors, "memory", s.Memory, "taskLease", c.lease, "settings", c.settingsFile)
@@ -160,6 +153,25 @@
 	return err
 }
 
+// leaderSettings returns the settings of the leader. Without a bound for evacuations
+// the operators do not ask for any, and the leader does not read them.
+func (c *serveCmd) leaderSettings() leader.Settings {
+	s := c.setup
+	out := leader.Settings{
+		Processors: s.Processors, MembersPrefix: fleet.MembersPrefix, DecodeMembers: fleet.DecodeMembers,
+		MachineOptions: []flow.Option{
+			flow.WithLease(c.lease, s.MaxLease), flow.WithStopTime(s.StopTime), flow.WithMaxMiss(s.MaxTargetMiss, s.ThrottleTime),
+			flow.WithRemoteFactor(s.RemoteDataFactor), flow.WithResumeTime(s.ResumeTime), flow.WithCancelTime(s.CancelTime),
+			flow.WithDrainTime(s.DrainTime),
+		},
+	}
+	if s.EvacuateTime > 0 {
+		out.EvacuationsPrefix, out.DecodeEvacuations = fleet.EvacuationsPrefix, fleet.DecodeEvacuations
+		out.MachineOptions = append(out.MachineOptions, flow.WithEvacuateTime(s.EvacuateTime))
+	}
+	return out
+}
+
 // recordRequests returns a function that logs each answered request of a
 // caller and counts it in the metrics.
 func recordRequests(log *slog.Logger, st *stats.Stats) func(front.RequestSummary) {
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -283,5 +283,7 @@
 		e.stats.Gauge("RecordsWaiting", int64(t.Uncommitted))
 		e.stats.Gauge("StartsUnanswered", int64(t.Unanswered))
 		e.stats.Gauge("StartWindow", int64(t.StartWindow))
+		e.stats.Gauge("EvacuatedDataCentres", int64(t.EvacuatedDataCentres))
+		e.stats.Gauge("EvacuatedRuns", int64(t.EvacuatedRuns))
 	}
 }
--- a/internal/leader/contact.go
+++ b/internal/leader/contact.go
@@ -17,6 +17,8 @@
 	// the jobs and cancellations that the state machine knows, registerReadAt that
 	// of the most recent read of the register of workers.
 	workReadAt, registerReadAt time.Time
+	// evacuationsReadAt is the same for the evacuations, zero if they are not read.
+	evacuationsReadAt time.Time
 	// pageReadAt is when the last page of the stored state arrived.
 	pageReadAt time.Time
 	// renewedSince is since when each renewal of the leader's lease has succeeded,
@@ -49,11 +51,30 @@
 	c.registerReadAt = asked
 }
 
-// reads returns when the last complete reads of the work and of the register began.
-func (c *contact) reads() (work, register time.Time) {
+// evacuationsRead records a read of the evacuations.
+func (c *contact) evacuationsRead(asked time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.workReadAt, c.registerReadAt
+	c.evacuationsReadAt = asked
+}
+
+// lastWorkRead returns when the last complete read of the work began.
+func (c *contact) lastWorkRead() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.workReadAt
+}
+
+// oldestRead returns when the oldest began of the last complete reads of the work, of
+// the register, and of the evacuations, if these are read.
+func (c *contact) oldestRead() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	oldest := earlier(c.workReadAt, c.registerReadAt)
+	if !c.evacuationsReadAt.IsZero() {
+		oldest = earlier(oldest, c.evacuationsReadAt)
+	}
+	return oldest
 }
 
 // pageRead records that a page of the stored state has arrived.
--- a/internal/leader/invalid.go
+++ b/internal/leader/invalid.go
@@ -4,18 +4,20 @@
 // any number of them.
 const maxLoggedInvalid = 100
 
-// logInvalid logs the keys of invalid items in the register of workers, each once. It
-// is called with t.mu locked.
-func (t *term) logInvalid(invalid map[string]error) {
+// logInvalid logs the keys of invalid items in a list of others, as the register of
+// workers, each once.
+func (t *term) logInvalid(list string, invalid map[string]error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	for key, err := range invalid {
 		if t.loggedInvalid[key] || len(t.loggedInvalid) > maxLoggedInvalid {
 			continue
 		}
 		t.loggedInvalid[key] = true
 		if len(t.loggedInvalid) > maxLoggedInvalid {
-			t.l.log.Warn("further invalid items in the register of workers are not logged", "term", t.number, "invalid", len(invalid))
+			t.l.log.Warn("further invalid items in the "+list+" are not logged", "term", t.number, "invalid", len(invalid))
 			return
 		}
-		t.l.log.Warn("item in the register of workers is invalid", "key", key, "error", err)
+		t.l.log.Warn("item in the "+list+" is invalid", "key", key, "error", err)
 	}
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -86,6 +86,11 @@
 	// item that does not describe a worker.
 	MembersPrefix string
 	DecodeMembers func([]sched.Item) ([]sched.Member, map[string]error)
+	// EvacuationsPrefix is the prefix of the keys that evacuate data centres; empty:
+	// there are none, and none are read. DecodeEvacuations decodes the keys and returns
+	// an error by key for each that names no data centre.
+	EvacuationsPrefix string
+	DecodeEvacuations func([]sched.Item) ([]sched.DataCentre, map[string]error)
 	// MachineOptions holds the options of the state machine.
 	MachineOptions []flow.Option
 }
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -16,10 +16,14 @@
 // to watch for further work.
 func (t *term) load() (sched.Version, error) {
 	t.spawn("renew lease", t.renewWhileLoading)
-	stored, err := t.rangeAll(
-		layout.Root+flow.KeyProgress, layout.Root+flow.KeyRoster, layout.Root+flow.KeyInterference,
-		layout.Root+flow.KeyHandover, t.l.MembersPrefix,
-	)
+	prefixes := []string{
+		layout.Root + flow.KeyProgress, layout.Root + flow.KeyRoster, layout.Root + flow.KeyInterference,
+		layout.Root + flow.KeyHandover, t.l.MembersPrefix,
+	}
+	if t.readsEvacuations() {
+		prefixes = append(prefixes, t.l.EvacuationsPrefix)
+	}
+	stored, err := t.rangeAll(prefixes...)
 	if err != nil {
 		return 0, err
 	}
@@ -39,6 +43,9 @@
 	t.l.mu.Unlock()
 	t.post(flow.ConfigMsg{Fleet: fleet})
 	t.postMembers(members)
+	if t.readsEvacuations() {
+		t.postEvacuations(stored[5])
+	}
 	for _, i := range work.items {
 		t.postWork(sched.Change{Item: i}, progress)
 	}
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -185,33 +185,36 @@
 // pollMembers polls the register of workers. A watch would deliver every
 // heartbeat of every worker as an event.
 func (t *term) pollMembers() {
+	t.poll("read workers", t.l.MembersPrefix, membersInterval, t.postMembers)
+}
+
+// poll reads the items under a prefix at intervals and delivers them.
+func (t *term) poll(step, prefix string, interval time.Duration, deliver func(reading)) {
 	lost := false
 	retry := newStoreBackoff()
 	for t.ctx.Err() == nil {
-		members, err := t.read(t.l.MembersPrefix)
+		r, err := t.read(prefix)
 		if err != nil {
 			if !lost && t.ctx.Err() == nil {
-				t.l.log.Warn("store lost", "step", "read workers", "error", err)
+				t.l.log.Warn("store lost", "step", step, "error", err)
 			}
 			lost = true
 			pause(t.ctx, retry.NextBackOff())
 			continue
 		}
 		if lost {
-			t.l.log.Info("store regained", "step", "read workers")
+			t.l.log.Info("store regained", "step", step)
 		}
 		lost = false
 		retry.Reset()
-		t.postMembers(members)
-		pause(t.ctx, membersInterval-t.l.now().Sub(members.asked))
+		deliver(r)
+		pause(t.ctx, interval-t.l.now().Sub(r.asked))
 	}
 }
 
 func (t *term) postMembers(r reading) {
 	members, invalid := t.l.DecodeMembers(r.items)
-	t.mu.Lock()
-	t.logInvalid(invalid)
-	t.mu.Unlock()
+	t.logInvalid("register of workers", invalid)
 	t.contact.registerRead(r.asked)
 	t.post(flow.MembersMsg{Members: members, Asked: r.asked})
 }
@@ -272,8 +275,7 @@
 
 // workAge returns the age of the last complete read of the jobs and cancellations.
 func (t *term) workAge() time.Duration {
-	work, _ := t.contact.reads()
-	return t.l.now().Sub(work)
+	return t.l.now().Sub(t.contact.lastWorkRead())
 }
 
 // checkPeerContact asks other entries about the store while this entry has not read
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -92,6 +92,9 @@
 	if err == nil && t.ctx.Err() == nil {
 		t.spawn("watch work", func() { t.watchWork(after) })
 		t.spawn("read workers", t.pollMembers)
+		if t.readsEvacuations() {
+			t.spawn("read evacuations", t.pollEvacuations)
+		}
 		t.spawn("maintain lease", t.maintainLease)
 		t.spawn("confirm term", t.confirm)
 		t.spawn("tick", t.tick)
--- a/internal/leader/unread.go
+++ b/internal/leader/unread.go
@@ -7,7 +7,7 @@
 
 const (
 	// maxUnreadTime is how long the leader may renew its lease without reading the
-	// work or the register of workers. Shorter disturbances end by themselves, and
+	// work, the register of workers or the evacuations. Shorter disturbances end by themselves, and
 	// another leader costs a takeover.
 	maxUnreadTime = 5 * time.Second
 	// maxLoadTime is the same for loading the stored state, without another page of it.
@@ -33,7 +33,7 @@
 }
 
 // unread returns for how long the leader has renewed its lease without a complete read
-// of the work and of the register of workers, and the limit of that time. While the
+// of all that it has to know, and the limit of that time. While the
 // lease cannot be renewed, the time is 0.
 func (t *term) unread() (unread, limit time.Duration) {
 	t.l.mu.Lock()
@@ -41,7 +41,7 @@
 	t.l.mu.Unlock()
 	since, limit := t.contact.lastPage(t.started), maxLoadTime
 	if loaded {
-		since, limit = earlier(t.contact.reads()), maxUnreadTime
+		since, limit = t.contact.oldestRead(), maxUnreadTime
 	}
 	renewedSince := t.contact.renewals()
 	if renewedSince.IsZero() {
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -142,6 +142,7 @@
 	workReadAt, registerReadAt time.Time
 	peersAskedAt               time.Time
 	knowledgeIsCurrent         bool
+	evacuations                evacuations
 	// mostAreSlow means that most workers answer late or not at all.
 	mostAreSlow bool
 }
@@ -151,21 +152,21 @@
 // New returns the machine of a leader's term. It knows no jobs and no workers.
 func New(term uint64, opts ...Option) *Machine {
 	m := &Machine{
-		options:            defaults(),
-		term:               term,
-		fleet:              &sched.FleetConfig{},
-		jobs:               map[sched.JobID]*job{},
-		cancels:            cancellations{byJob: map[sched.JobID]cancellation{}},
-		workers:            map[sched.WorkerName]*worker{},
-		adviceLimits:       map[sched.QueueName]*adviceLimit{},
-		mayIssueOrders:     true,
-		knowledgeIsCurrent: true,
+		options:        defaults(),
+		term:           term,
+		fleet:          &sched.FleetConfig{},
+		jobs:           map[sched.JobID]*job{},
+		cancels:        cancellations{byJob: map[sched.JobID]cancellation{}},
+		workers:        map[sched.WorkerName]*worker{},
+		adviceLimits:   map[sched.QueueName]*adviceLimit{},
+		mayIssueOrders: true,
 
 		permittedShare: initialPermittedShare,
 	}
 	for _, o := range opts {
 		o(&m.options)
 	}
+	m.knowledgeIsCurrent = m.knowsEnough()
 	m.commits.init()
 	m.runtimes.init()
 	m.interference.init()
@@ -206,6 +207,8 @@
 	case MembersMsg:
 		m.setMembers(msg.Members)
 		m.noteLatest(&m.registerReadAt, msg.Asked)
+	case EvacuationsMsg:
+		m.setEvacuations(msg)
 	case JobMsg:
 		m.addJob(msg)
 	case CancelMsg:
--- a/pkg/sched/flow/knowledge.go
+++ b/pkg/sched/flow/knowledge.go
@@ -31,7 +31,7 @@
 // cancellation, or the draining of a worker, takes effect is left for the order. It is
 // a smaller part for the register, which is read less often.
 func (m *Machine) knowsEnough() bool {
-	return m.isCurrent(m.workReadAt, m.cancelTime/2) && m.isCurrent(m.registerReadAt, m.drainTime*3/4)
+	return m.isCurrent(m.workReadAt, m.cancelTime/2) && m.isCurrent(m.registerReadAt, m.drainTime*3/4) && m.knowsEvacuations()
 }
 
 // isCurrent reports whether something that was read completely at the given time is
@@ -55,7 +55,8 @@
 	}
 	m.knowledgeIsCurrent = current
 	m.log("knowledge of work and workers changed", "term", m.term, "current", current, "workRead", m.sinceWorkRead(),
-		"registerRead", m.now.Sub(m.registerReadAt), "storeAnswered", m.now.Sub(m.storeAnsweredAt), "peersAsked", m.now.Sub(m.peersAskedAt))
+		"registerRead", m.now.Sub(m.registerReadAt), "storeAnswered", m.now.Sub(m.storeAnsweredAt), "peersAsked", m.now.Sub(m.peersAskedAt),
+		"evacuationsRead", m.now.Sub(m.evacuations.readAt))
 	m.stale = true
 }
 
--- a/pkg/sched/flow/options.go
+++ b/pkg/sched/flow/options.go
@@ -42,7 +42,9 @@
 	retention                       time.Duration
 	resumeTime                      time.Duration
 	cancelTime, drainTime           time.Duration
-	wallMillis                      func(time.Time) int64
+	// evacuateTime is 0 if data centres are not evacuated.
+	evacuateTime time.Duration
+	wallMillis   func(time.Time) int64
 	// stopwatch is nil if durations are not measured.
 	stopwatch func() time.Time
 }
@@ -96,6 +98,11 @@
 // be started there (default 2 s).
 func WithDrainTime(d time.Duration) Option { return func(o *options) { o.drainTime = d } }
 
+// WithEvacuateTime sets how long after the operators asked for the evacuation of a data
+// centre tasks may still be started there. With it tasks are started only while the
+// evacuations were read a short time ago (default 0: they are not read).
+func WithEvacuateTime(d time.Duration) Option { return func(o *options) { o.evacuateTime = d } }
+
 // WithWallClock sets the function that returns the time of day as Unix time in
 // milliseconds. It determines when the occurrences of a repeated job are due.
 func WithWallClock(f func(now time.Time) int64) Option { return func(o *options) { o.wallMillis = f } }
--- a/pkg/sched/flow/place.go
+++ b/pkg/sched/flow/place.go
@@ -60,7 +60,7 @@
 	m.ratings++
 	s := t.step.spec
 	waited := m.now.Sub(t.queuedAt)
-	score := -m.failurePenalty(t, w)
+	score := -m.failurePenalty(t, w) - m.coldPenalty(w)
 	if s.Affinity != "" && w.member.Rack() != s.Affinity {
 		// The task takes longer on a rack without its data, by a known factor.
 		// Waiting is better until the time lost equals the cost of the distance.
--- a/pkg/sched/flow/queries.go
+++ b/pkg/sched/flow/queries.go
@@ -53,6 +53,9 @@
 	// Unanswered counts the starts without a result, and StartWindow is how many there
 	// may be.
 	Unanswered, StartWindow int
+	// EvacuatedDataCentres counts the evacuated data centres of which workers are known,
+	// and EvacuatedRuns the runs that are still in progress there.
+	EvacuatedDataCentres, EvacuatedRuns int
 }
 
 // Totals returns the sums.
@@ -65,6 +68,7 @@
 	for _, w := range m.order {
 		t.Runs += len(w.runs)
 	}
+	t.EvacuatedDataCentres, t.EvacuatedRuns = m.countEvacuated()
 	for _, j := range m.live {
 		for _, o := range j.occurrences {
 			if o == nil {
--- a/pkg/sched/flow/start.go
+++ b/pkg/sched/flow/start.go
@@ -86,7 +86,7 @@
 
 // Wanted reports whether a start that was ordered should still be sent at time now.
 // Orders may wait for some time before they are sent. Meanwhile the job may have
-// been cancelled, the worker may drain, or the process may have been suspended.
+// been cancelled, the worker may drain or be evacuated, or the process may have been suspended.
 func (m *Machine) Wanted(now time.Time, worker sched.WorkerName, id sched.Run) bool {
 	m.now = now
 	w := m.workers[worker]
@@ -94,14 +94,15 @@
 		return false
 	}
 	r := w.runs[id]
-	return r != nil && r.state == runStarting && r.token == m.token(w) && !w.member.Draining && m.allowedToIssueOrders() && m.knowsEnough()
+	return r != nil && r.state == runStarting && r.token == m.token(w) && m.takesStarts(w) && m.allowedToIssueOrders() && m.knowsEnough()
 }
 
 // startWithdrawn handles a start that was not sent. An earlier copy may have been
 // carried out, and the worker may have reported the run meanwhile.
 func (m *Machine) startWithdrawn(r *run) {
 	m.log("start withdrawn", "id", r.task.job().spec.ID, "task", r.task.name(), "run", r.number,
-		"worker", r.worker.name(), "try", r.tries, "waited", m.now.Sub(r.lastSent), "workRead", m.sinceWorkRead())
+		"worker", r.worker.name(), "try", r.tries, "waited", m.now.Sub(r.lastSent), "workRead", m.sinceWorkRead(),
+		"evacuated", m.evacuated(r.worker))
 	switch {
 	case r.state == runRunning:
 	case r.tries > 1:
@@ -187,7 +188,7 @@
 	if r.state != runStarting {
 		return
 	}
-	if r.tries < maxStartTries && !r.worker.member.Draining && r.worker.accounted && m.mayStart() {
+	if r.tries < maxStartTries && m.takesStarts(r.worker) && r.worker.accounted && m.mayStart() {
 		m.sendStart(r)
 		return
 	}
--- a/pkg/sched/flow/waits.go
+++ b/pkg/sched/flow/waits.go
@@ -112,6 +112,7 @@
 	suitable unsuitable = iota
 	unlisted
 	draining
+	evacuated
 	unrostered
 	unanswered
 	suspected
@@ -131,7 +132,7 @@
 // unsuitableNames are the names of the counts in a log line. excluded stands for
 // interference, a missed target, or a rack without the data of the task.
 var unsuitableNames = [unsuitableReasons]string{
-	"suitable", "unlisted", "draining", "unrostered", "unanswered", "suspected", "slow", "full", "otherService",
+	"suitable", "unlisted", "draining", "evacuated", "unrostered", "unanswered", "suspected", "slow", "full", "otherService",
 	"noLabel", "tooMany", "noTicket", "noCapacity", "booked", "reserved", "excluded",
 }
 
@@ -151,6 +152,8 @@
 		return unlisted
 	case w.member.Draining:
 		return draining
+	case m.evacuated(w):
+		return evacuated
 	case !w.rostered:
 		return unrostered
 	case !w.accounted || !w.hasClock || w.replaced:
--- a/pkg/sched/flow/worker.go
+++ b/pkg/sched/flow/worker.go
@@ -92,6 +92,7 @@
 	fullUntil   time.Time
 	fullBackoff time.Duration
 	quarantine  quarantine
+	cold        coldStart
 	// throttleFactor falls from 1 while a latency target is missed and rises again
 	// afterwards. Low values throttle best-effort runs and keep new ones away.
 	throttleFactor float64
@@ -180,7 +181,7 @@
 // usable reports whether new runs may be placed on the worker.
 func (m *Machine) usable(w *worker) bool {
 	return w.listed && w.rostered && w.accounted && w.hasClock && !w.replaced && !w.suspected && !w.slow &&
-		w.report.endsUnreadableSince.IsZero() && !w.member.Draining && !m.now.Before(w.fullUntil)
+		w.report.endsUnreadableSince.IsZero() && m.takesStarts(w) && !m.now.Before(w.fullUntil)
 }
 
 // setMembers applies the content of the register of workers.
@@ -224,6 +225,7 @@
 		w.rostered, m.roster.dirty = false, true
 	}
 	w.member = mb
+	w.noteCold(m.now)
 	if w.member.Draining {
 		m.drain(w)
 	}
--- a/pkg/sched/orders.go
+++ b/pkg/sched/orders.go
@@ -66,6 +66,9 @@
 	Labels []string
 	// Born identifies the incarnation of the worker.
 	Born int64
+	// ColdLeft is for how long the worker is slow after its start, as of when it wrote
+	// the registration. It is not part of the roster, since it is soon out of date.
+	ColdLeft time.Duration `cbor:"-"`
 }
 
 // Rack returns the label that names the worker's rack, or the empty string.
