Test the evacuation of data centres

Covers the state machine with the emulator, whose oracle now checks the bound, the leader with its fakes, and the decoding of the keys and settings.

--- a/internal/emul/emul.go
+++ b/internal/emul/emul.go
@@ -75,6 +75,9 @@
 	// EndsPerReport is the most run ends that a worker lists in one report.
 	EndsPerReport int
 
+	// evacuations holds when data centres were evacuated, nil if they are not.
+	evacuations map[sched.DataCentre]time.Time
+
 	// Violations are the broken guarantees that the oracle found, one text each.
 	Violations []string
 	// Counts holds event counters by name.
--- a/internal/emul/oracle.go
+++ b/internal/emul/oracle.go
@@ -56,6 +56,7 @@
 	if !r.spec.Perpetual && limit > 0 && max(r.job.ackedFailures[t], r.job.ackedFailures[gangCountKey(t)]) >= limit {
 		e.violate("%s starts after %d failures", taskName(t), r.job.ackedFailures[t])
 	}
+	e.checkEvacuation(w, t)
 	if !r.job.Cancelled.IsZero() && e.now.Sub(r.job.Cancelled) > cancelBound && e.cancellationsKnown() {
 		e.violate("%s starts %s after its cancellation", taskName(t), e.now.Sub(r.job.Cancelled))
 	}
--- a/internal/emul/store.go
+++ b/internal/emul/store.go
@@ -150,12 +150,11 @@
 	s := &e.store
 	s.term++
 	s.termVersion = s.nextVersion()
-	wall := flow.WithWallClock(func(now time.Time) int64 { return now.UnixMilli() })
 	l := &Leader{e: e, term: s.term, cut: map[*Worker]bool{}}
 	for _, w := range workers {
 		l.cut[w] = true
 	}
-	l.Machine = flow.New(s.term, append([]flow.Option{wall}, opts...)...)
+	l.Machine = flow.New(s.term, append(e.machineOptions(), opts...)...)
 	for _, old := range e.leaders {
 		old.stepDown()
 	}
@@ -163,6 +162,7 @@
 	l.post(flow.ConfirmedMsg{Asked: e.now})
 	l.post(flow.ConfigMsg{Fleet: e.Fleet})
 	l.post(flow.MembersMsg{Members: e.members(), Asked: e.now})
+	l.readEvacuations()
 	for _, j := range e.submitted {
 		p := s.items[flow.KeyProgress+string(j.Spec.ID)]
 		l.post(flow.JobMsg{
@@ -187,6 +187,7 @@
 	l.every(membersEvery, func() {
 		if !e.store.down && !l.storeCut {
 			l.post(flow.MembersMsg{Members: e.members(), Asked: e.now})
+			l.readEvacuations()
 		}
 	})
 	l.every(confirmEvery, func() {
--- a/internal/leader/cluster_test.go
+++ b/internal/leader/cluster_test.go
@@ -29,6 +29,8 @@
 	pool    *pool
 	adviser *adviser
 	entries []*entry
+	// evacuable means that the entries read which data centres are evacuated.
+	evacuable bool
 	// log holds what the entries logged.
 	log logBuffer
 	// decodePanics and clockPanics are how many more calls of decodeMembers and of
@@ -102,10 +104,10 @@
 	c.store.Put(layout.EntryPrefix+name, layout.Encode(layout.Entry{
 		Name: sched.EntryName(name), Addr: netip.MustParseAddrPort("127.0.0.1:1"), Processors: processors,
 	}))
-	l := leader.New(leader.Settings{
+	l := leader.New(c.withEvacuations(leader.Settings{
 		Name: sched.EntryName(name), Processors: processors, MembersPrefix: membersPrefix, DecodeMembers: c.decodeMembers,
 		MachineOptions: []flow.Option{flow.WithWallClock(c.wallMillis)},
-	}, client, c.orders(), leader.WithAdviser(c.adviser), leader.WithClock(c.now), leader.WithLogger(slog.New(slog.NewTextHandler(&c.log, nil))), leader.WithReachable(c.reachable), leader.WithAskPeers(c.askPeers), leader.WithAnnouncer(func(v layout.Leader) {
+	}), client, c.orders(), leader.WithAdviser(c.adviser), leader.WithClock(c.now), leader.WithLogger(slog.New(slog.NewTextHandler(&c.log, nil))), leader.WithReachable(c.reachable), leader.WithAskPeers(c.askPeers), leader.WithAnnouncer(func(v layout.Leader) {
 		for _, e := range c.entries {
 			if e.Current().Name != v.Name {
 				go e.ObserveLeader(v)
@@ -175,7 +177,7 @@
 			continue
 		}
 		out = append(out, sched.Member{
-			Worker: sched.WorkerName(strings.TrimPrefix(i.Key, membersPrefix)), Service: "S",
+			Worker: sched.WorkerName(strings.TrimPrefix(i.Key, membersPrefix)), Service: "S", DataCentre: "z",
 			Addr: netip.MustParseAddrPort("127.0.0.1:1"), Born: 1,
 			Capacity: sched.Resources{CPU: 32000, Memory: 64 << 30},
 			Draining: string(i.Value) == drains, DrainLeft: time.Second,
--- a/pkg/sched/flow/single_test.go
+++ b/pkg/sched/flow/single_test.go
@@ -31,9 +31,12 @@
 	holdCommits bool
 }
 
-func newLeaderOfOne() *leaderOfOne {
-	l := &leaderOfOne{m: flow.New(1), now: time.Unix(1_700_000_000, 0)}
-	l.member = sched.Member{Worker: "w", Service: "Pool", Capacity: sched.Resources{CPU: 8000, Memory: gib}, Born: 1}
+func newLeaderOfOne() *leaderOfOne { return newLeaderWith() }
+
+// newLeaderWith returns a leader of one worker with further options.
+func newLeaderWith(opts ...flow.Option) *leaderOfOne {
+	l := &leaderOfOne{m: flow.New(1, opts...), now: time.Unix(1_700_000_000, 0)}
+	l.member = sched.Member{Worker: "w", Service: "Pool", DataCentre: "a", Capacity: sched.Resources{CPU: 8000, Memory: gib}, Born: 1}
 	l.update(flow.ConfirmedMsg{Asked: l.now})
 	l.update(flow.ConfigMsg{Fleet: &sched.FleetConfig{
 		Revision: 1, Queues: map[sched.QueueName]sched.Queue{"Q": {Name: "Q", Service: "Pool"}},
