Leave room for short tasks when perpetual ones start

On a nearly full pool each piece of capacity went to perpetual tasks after 1.5 s, so short tasks waited up to 20 s for a worker, and short tasks were packed onto workers whose processors best-effort tasks used up, which slowed the latency-critical tasks there.

A perpetual task that has never run now leaves free what short tasks of its priority needed at their recent peak, for at most 20 s. Short tasks prefer workers with idle processors.

--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -93,6 +93,7 @@
 	estimateRecord estimateRecord
 	runtimes       runtimes
 	window         startWindow
+	shortNeed      shortNeed
 
 	// stale means that tasks or free capacity have changed since the last
 	// scheduling pass.
@@ -170,6 +171,7 @@
 	m.runtimes.init()
 	m.interference.init()
 	m.window.size = minStartWindow
+	m.shortNeed.peak = map[int]sched.MilliCPU{}
 	return m
 }
 
@@ -249,6 +251,7 @@
 	m.updateMostAreSlow()
 	m.endRecovery()
 	m.openDueOccurrences()
+	m.sampleShortNeed()
 	for _, w := range m.order {
 		m.maintainWorker(w)
 	}
--- a/pkg/sched/flow/place.go
+++ b/pkg/sched/flow/place.go
@@ -86,7 +86,15 @@
 	}
 	// Short tasks go where the least capacity is left, so that other workers keep
 	// free capacity for large tasks.
-	return score - freeShare, true
+	return score - freeShare - overloadWeight*m.overload(w, s.Need().CPU), true
+}
+
+// overload returns by how much a further task makes the runs of a worker want more
+// processors than it has, as a share of them. The best-effort runs there would slow
+// its latency-critical ones.
+func (m *Machine) overload(w *worker, need sched.MilliCPU) float64 {
+	capacity := max(float64(w.member.Capacity.CPU), 1)
+	return max(w.busy+float64(need)-capacity, 0) / capacity
 }
 
 // remoteWait returns how long a task waits for capacity on the rack with its
@@ -192,6 +200,10 @@
 	// bounds how long free capacity on other racks is left unused.
 	remotePenalty = 10
 	maxRemoteWait = 2 * time.Second
+	// overloadWeight makes a short task prefer a worker with idle processors to one
+	// where it would slow latency-critical runs. It outweighs differences in free
+	// capacity.
+	overloadWeight = 4
 	// memoryWeight is the weight of free memory relative to free processors.
 	memoryWeight = 0.2
 	// maxReserveWait bounds how long a perpetual task waits because of the
--- a/pkg/sched/flow/schedule.go
+++ b/pkg/sched/flow/schedule.go
@@ -176,6 +176,9 @@
 	// reserved means that free capacity is reserved for a gang. Short tasks that
 	// come later in the pass wait.
 	reserved bool
+	// perpetual is the sum of the processors of the perpetual tasks that the pass has
+	// placed.
+	perpetual sched.MilliCPU
 }
 
 // unmetRequest holds what a task that found no worker asked for, apart from
@@ -241,6 +244,10 @@
 			p.m.setBlocked(s, "an earlier run may still be running")
 			continue
 		}
+		if !p.m.leavesHeadroom(t, q, p.perpetual) {
+			p.m.setBlocked(s, "capacity is left to short tasks")
+			return
+		}
 		w := ranks.best(t, f.waitLevel)
 		if w == nil {
 			p.leave(s, q)
@@ -251,6 +258,9 @@
 		}
 		s.blocked = ""
 		p.starts++
+		if s.spec.Perpetual {
+			p.perpetual += need.CPU
+		}
 		p.m.startRun(t, w, p.m.nextNumber(t))
 		ranks.rerate(t, w)
 	}
--- a/pkg/sched/workflow.go
+++ b/pkg/sched/workflow.go
@@ -55,6 +55,10 @@
 // they answer requests and have a tail latency target.
 func (s *StepSpec) LatencyCritical() bool { return s.TailTarget > 0 }
 
+// Short reports whether the tasks of the step end by themselves and count against the
+// capacity of a worker.
+func (s *StepSpec) Short() bool { return !s.Perpetual && !s.BestEffort }
+
 // Need returns the resources that a task of the step takes from a worker's
 // capacity.
 func (s *StepSpec) Need() Resources {
