--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -93,6 +93,7 @@
 	estimateRecord estimateRecord
 	runtimes       runtimes
 	window         startWindow
+	shortNeed      shortNeed
 
 	// stale means that tasks or free capacity have changed since the last
 	// scheduling pass.
@@ -171,6 +172,7 @@
 	m.runtimes.init()
 	m.interference.init()
 	m.window.size = minStartWindow
+	m.shortNeed.peak = map[int]sched.MilliCPU{}
 	return m
 }
 
@@ -252,6 +254,7 @@
 	m.updateMostAreSlow()
 	m.endRecovery()
 	m.openDueOccurrences()
+	m.sampleShortNeed()
 	for _, w := range m.order {
 		m.maintainWorker(w)
 	}
