--- a/pkg/sched/flow/evacuate_test.go
+++ b/pkg/sched/flow/evacuate_test.go
@@ -1,6 +1,7 @@
 package flow_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -115,6 +116,28 @@
 		requireRunning(t, e, 0, 3)
 		requireAllEnded(t, e, endTimeout)
 	})
+	t.Run("a gang that is partly started", func(t *testing.T) {
+		e, l := newEvacuable()
+		l.OrderCost = 5 * time.Millisecond
+		e.RunFor(390 * time.Millisecond)
+		submitTasks(e, "gang", sched.StepSpec{Count: 6, Affinity: "r0", Estimate: time.Minute, Gang: true}, 20*time.Second)
+		e.Evacuate("a")
+		e.RunFor(3 * time.Second)
+		require.Equal(t, true, requireEvent(t, l, "start withdrawn")["evacuated"])
+		requireRunning(t, e, 0, 6)
+	})
+	t.Run("an unknown data centre", func(t *testing.T) {
+		l := newEvacuableOne()
+		unknown := []sched.DataCentre{"A", "", "a "}
+		for i := range 1000 {
+			unknown = append(unknown, sched.DataCentre(fmt.Sprint(i)))
+		}
+		lines := len(l.cmds)
+		l.update(flow.EvacuationsMsg{DataCentres: unknown, Asked: l.now})
+		require.Less(t, len(l.cmds)-lines, 20)
+		l.requireStart(t, "1")
+		require.Zero(t, l.m.Totals().EvacuatedDataCentres)
+	})
 	t.Run("a new leader", func(t *testing.T) {
 		e, l := newEvacuable()
 		submitTasks(e, "j", sched.StepSpec{Count: 48}, 12*time.Second)
