--- a/pkg/sched/flow/evacuate_test.go
+++ b/pkg/sched/flow/evacuate_test.go
@@ -12,9 +12,9 @@
 	"github.com/mangoslip/mangoslip/pkg/sched/flow"
 )
 
-// newEvacuable returns workers of which the first rack of 8 is in data centre a, and the
-// two others in b, and their leader.
-func newEvacuable(evacuated ...sched.DataCentre) (*emul.Emulator, *emul.Leader) {
+// newDataCentres returns workers of which the first rack of 8 is in data centre a, and the
+// two others in b.
+func newDataCentres() *emul.Emulator {
 	e := emul.New(31)
 	e.AddWorkers(24, sched.Resources{CPU: 16000, Memory: 64 * gib})
 	for i, w := range e.Workers {
@@ -24,6 +24,12 @@
 		}
 	}
 	e.AddQueue(sched.Queue{Name: "Q", MaxAttempts: 3})
+	return e
+}
+
+// newEvacuable returns these workers and their leader.
+func newEvacuable(evacuated ...sched.DataCentre) (*emul.Emulator, *emul.Leader) {
+	e := newDataCentres()
 	e.Evacuate(evacuated...)
 	l := e.Lead()
 	l.KeepEvents = true
@@ -253,8 +259,12 @@
 // Guards against cold workers that are preferred to others of the same suitability, and
 // against workers that count as cold for ever because their registration is read again.
 func TestColdWorkersComeLast(t *testing.T) {
-	newCold := func() *emul.Emulator {
-		e, _ := newEvacuable()
+	newCold := func(evacuable bool) *emul.Emulator {
+		e := newDataCentres()
+		if evacuable {
+			e.Evacuate()
+		}
+		e.Lead()
 		for _, w := range e.Workers[:8] {
 			w.Member.ColdLeft = 4 * time.Second
 		}
@@ -264,17 +274,22 @@
 		return e
 	}
 	t.Run("after others", func(t *testing.T) {
-		e := newCold()
+		e := newCold(true)
 		requireRunning(t, e, 0, 8)
 		submitTasks(e, "more", sched.StepSpec{Count: 30}, time.Minute)
 		e.RunFor(time.Second)
 		requireRunning(t, e, 6, 32)
 	})
 	t.Run("not for ever", func(t *testing.T) {
-		e := newCold()
+		e := newCold(true)
 		e.RunFor(4 * time.Second)
 		submitTasks(e, "later", sched.StepSpec{Count: 8}, time.Minute)
 		e.RunFor(time.Second)
 		requireRunning(t, e, 8, 8)
 	})
+	t.Run("as before where nothing is evacuated", func(t *testing.T) { requireRunning(t, newCold(false), 8, 0) })
+	t.Run("not recorded", func(t *testing.T) {
+		warm, cold := []sched.Member{{Worker: "w"}}, []sched.Member{{Worker: "w", ColdLeft: time.Second}}
+		require.Equal(t, flow.EncodeRoster(warm), flow.EncodeRoster(cold))
+	})
 }
