Recognise slow workers and restart their short runs elsewhere

Some workers take several times as long for the same work while their health check is good, and a job waits for its slowest task.

Package pkg/sched/speed compares the progress of the tasks of a step and decides which workers are slow. The state machine uses slow workers last for short tasks, and restarts runs there that would end later than new runs elsewhere.

--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -268,6 +268,7 @@
 
 // publishGauges publishes the totals of the leader's state machine as metrics.
 func (e *Entry) publishGauges(ctx context.Context) {
+	moved := 0
 	for ctx.Err() == nil {
 		pause(ctx, gaugeInterval)
 		t, leads := e.leader.Totals()
@@ -283,5 +284,11 @@
 		e.stats.Gauge("RecordsWaiting", int64(t.Uncommitted))
 		e.stats.Gauge("StartsUnanswered", int64(t.Unanswered))
 		e.stats.Gauge("StartWindow", int64(t.StartWindow))
+		e.stats.Gauge("SlowWorkers", int64(t.SlowWorkers))
+		if t.RunsMovedSlow < moved {
+			moved = 0 // A new term counts from 0.
+		}
+		e.stats.Count("RunsMoved.Slow", int64(t.RunsMovedSlow-moved))
+		moved = t.RunsMovedSlow
 	}
 }
--- a/internal/emul/emul.go
+++ b/internal/emul/emul.go
@@ -89,6 +89,17 @@
 	// FailureShare is the share of the runs that fail. It is 1 for a job that can
 	// never complete.
 	FailureShare float64
+	// Factor returns by which factor a task takes longer than Duration, nil if all
+	// tasks take equally long.
+	Factor func(t sched.RunTask) float64
+}
+
+// total returns how long a task runs at full speed.
+func (w *Work) total(t sched.RunTask) time.Duration {
+	if w.Factor == nil {
+		return w.Duration
+	}
+	return time.Duration(float64(w.Duration) * w.Factor(t))
 }
 
 // Job is a submitted job and its history.
--- a/internal/emul/execute.go
+++ b/internal/emul/execute.go
@@ -75,7 +75,7 @@
 		w.e.Counts["NoRoom"]++
 		return w.reply(sched.OrderNoCapacity)
 	}
-	r := &Run{ID: o.Run, spec: spec, job: j, total: j.Work.Duration, since: w.e.now, speed: 1, fencingToken: o.Fence, worker: w}
+	r := &Run{ID: o.Run, spec: spec, job: j, total: j.Work.total(o.Run.Task), since: w.e.now, speed: 1, fencingToken: o.Fence, worker: w}
 	r.remaining = r.total
 	if o.Saved != "" {
 		var ms int64
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -55,6 +55,7 @@
 	"time"
 
 	"github.com/mangoslip/mangoslip/pkg/sched"
+	"github.com/mangoslip/mangoslip/pkg/sched/speed"
 )
 
 // Machine is the state of one leader's term. It implements [sched.Machine]. It
@@ -92,6 +93,7 @@
 	interference   interference
 	estimateRecord estimateRecord
 	runtimes       runtimes
+	speeds         *speed.Estimator
 	window         startWindow
 
 	// stale means that tasks or free capacity have changed since the last
@@ -142,6 +144,8 @@
 	workReadAt, registerReadAt time.Time
 	peersAskedAt               time.Time
 	knowledgeIsCurrent         bool
+	// runsMovedSlow counts the runs that were restarted because their worker is slow.
+	runsMovedSlow int
 	// mostAreSlow means that most workers answer late or not at all.
 	mostAreSlow bool
 }
@@ -168,6 +172,7 @@
 	}
 	m.commits.init()
 	m.runtimes.init()
+	m.speeds = speed.New()
 	m.interference.init()
 	m.window.size = minStartWindow
 	return m
@@ -253,6 +258,7 @@
 		m.maintainWorker(w)
 	}
 	m.moveThrottled()
+	m.restartStragglers()
 	m.stopStalled()
 	m.consolidate()
 	m.dropEndedJobs()
--- a/pkg/sched/flow/options.go
+++ b/pkg/sched/flow/options.go
@@ -45,6 +45,8 @@
 	wallMillis                      func(time.Time) int64
 	// stopwatch is nil if durations are not measured.
 	stopwatch func() time.Time
+	// stragglers means that slow workers are recognised.
+	stragglers bool
 }
 
 func defaults() options {
@@ -53,6 +55,7 @@
 		reserveShare: defaultReserveShare, maxMiss: defaultMaxMiss, throttleTime: defaultThrottleTime,
 		remoteFactor: defaultRemoteFactor, retention: defaultRetention, gangWait: defaultGangWait,
 		resumeTime: defaultResumeTime, cancelTime: defaultCancelTime, drainTime: defaultDrainTime,
+		stragglers: true,
 		wallMillis: func(t time.Time) int64 { return t.UnixMilli() },
 	}
 }
--- a/pkg/sched/flow/place.go
+++ b/pkg/sched/flow/place.go
@@ -60,7 +60,11 @@
 	m.ratings++
 	s := t.step.spec
 	waited := m.now.Sub(t.queuedAt)
-	score := -m.failurePenalty(t, w)
+	slow, use := m.speedPenalty(t, w)
+	if !use {
+		return 0, false
+	}
+	score := -m.failurePenalty(t, w) - slow
 	if s.Affinity != "" && w.member.Rack() != s.Affinity {
 		// The task takes longer on a rack without its data, by a known factor.
 		// Waiting is better until the time lost equals the cost of the distance.
--- a/pkg/sched/flow/quarantine.go
+++ b/pkg/sched/flow/quarantine.go
@@ -61,7 +61,7 @@
 	switch how {
 	case sched.EndDone:
 		w.quarantine = quarantine{}
-		if r.resumedFrom == "" && !r.knownAt.IsZero() {
+		if r.resumedFrom == "" && !r.knownAt.IsZero() && !m.speeds.Slow(w.name()) {
 			m.runtimes.add(r.task.step, m.now.Sub(r.firstSent))
 		}
 	case sched.EndFailed:
--- a/pkg/sched/flow/queries.go
+++ b/pkg/sched/flow/queries.go
@@ -53,6 +53,9 @@
 	// Unanswered counts the starts without a result, and StartWindow is how many there
 	// may be.
 	Unanswered, StartWindow int
+	// SlowWorkers counts the slow workers, and RunsMovedSlow the runs that were
+	// restarted for that reason in this term.
+	SlowWorkers, RunsMovedSlow int
 }
 
 // Totals returns the sums.
@@ -61,6 +64,7 @@
 		Jobs: len(m.jobs), Live: len(m.live), Workers: len(m.order),
 		Uncommitted: len(m.commits.changed), Recovering: m.recovery.active,
 		Unanswered: m.window.ordered, StartWindow: int(m.window.size),
+		SlowWorkers: m.speeds.SlowWorkers(), RunsMovedSlow: m.runsMovedSlow,
 	}
 	for _, w := range m.order {
 		t.Runs += len(w.runs)
--- a/pkg/sched/flow/renewal.go
+++ b/pkg/sched/flow/renewal.go
@@ -87,7 +87,7 @@
 	case (w.suspected || w.slow) && (len(w.runs) > 0 || w.listed):
 		m.sendRenewal(w, 0)
 	case len(w.runs) > 0, w.unknownRuns > 0:
-		m.sendRenewal(w, m.renewWaitFor(w))
+		m.sendRenewal(w, m.waitForLate(w, m.renewWaitFor(w)))
 	case w.acknowledged < w.durable, w.needsReading(m.now):
 		m.sendRenewal(w, 0)
 	case m.unconfirmed() && w.listed && w.sinceContact(m.now) > answerInterval:
--- a/pkg/sched/flow/report.go
+++ b/pkg/sched/flow/report.go
@@ -68,10 +68,13 @@
 	w.renewal.continuous = true
 	w.acknowledged = max(w.acknowledged, w.renewal.seen)
 	processed := w.processed
+	m.learnFinalSpeeds(w, &msg)
 	m.applyEnds(w, rep.Ended)
 	// Orders with an older token than the worker has seen are not carried out any more.
 	current := w.renewal.token == m.token(w)
 	m.applyRunReports(w, msg.Sent, rep, current)
+	m.learnSpeeds(w, rep)
+	w.reportClock = rep.Clock
 	m.noteReport(w, rep, w.processed > processed)
 	m.noteFirstReport(w, rep.Complete(), current)
 	m.learnFromTails(w)
--- a/pkg/sched/flow/run.go
+++ b/pkg/sched/flow/run.go
@@ -69,6 +69,8 @@
 	// adopted means that this machine adopted the run from a report; an earlier
 	// leader may have started it.
 	adopted bool
+	// pace is the part of the run from which the speed of the worker is learned.
+	pace pace
 	// searchedAt is when another worker was last searched for.
 	searchedAt time.Time
 }
--- a/pkg/sched/flow/schedule.go
+++ b/pkg/sched/flow/schedule.go
@@ -200,6 +200,9 @@
 			n++
 		}
 	}
+	if m.speeds.SlowWorkers() > 0 && m.now.Sub(t.queuedAt) >= midSlowWait {
+		n++
+	}
 	return n
 }
 
--- a/pkg/sched/flow/start.go
+++ b/pkg/sched/flow/start.go
@@ -69,6 +69,9 @@
 		m.startWithdrawn(r)
 	case msg.Err == nil && msg.Reply.Refusal == sched.OrderAccepted:
 		r.incarnationKnown = r.incarnationKnown || incarnationKnown
+		if r.resumedFrom == "" && msg.Reply.HasClock && !r.pace.known {
+			r.pace.begin(msg.Reply.Clock, 0)
+		}
 		m.startAccepted(r)
 	case msg.Err == nil:
 		m.noteReplaced(w, msg.Result, msg.Reply.Refusal)
--- a/pkg/sched/flow/worker.go
+++ b/pkg/sched/flow/worker.go
@@ -81,6 +81,8 @@
 	pending                          []pendingEnd
 
 	report reportState
+	// reportClock is the worker's clock in the last report.
+	reportClock time.Duration
 	// unknownRuns counts the runs of unknown tasks in the last report. They were
 	// ordered to stop.
 	unknownRuns int
--- /dev/null
+++ b/pkg/sched/speed/speed.go
@@ -0,0 +1,382 @@
+// Package speed estimates which workers are slow relative to the others, from the
+// progress of the runs on them. It is meant for fleets where some workers take
+// several times as long for the same work while their health checks are good.
+//
+// The tasks of a step are compared with each other. One slow run says little,
+// because some tasks need several times the work of their siblings on any worker.
+// A worker is slow only if at least two of its tasks are, or one if the worker was
+// slow shortly before; two that were slow from their start are enough only while
+// this is so on several workers. Speeds are relative: if many workers are slow, none
+// is.
+//
+// The package does no I/O and reads no clock.
+//
+// # Usage
+//
+//	e := speed.New()
+//	e.Observe(speed.Sample{Worker: "w1", Task: task, Run: 1, Low: 1.2, High: 1.3, Expected: time.Second, At: now})
+//	for _, c := range e.Update(now) {
+//		// log the change
+//	}
+//	if e.Slow("w1") {
+//		// use another worker
+//	}
+package speed
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mangoslip/mangoslip/pkg/sched"
+)
+
+const (
+	// slowBelow is the relative speed up to which a run counts as slow, and
+	// normalFrom that from which it counts as normal. Between them lie the tasks
+	// that need up to twice the work of their siblings.
+	slowBelow  = 0.5
+	normalFrom = 0.65
+	// aloneSlowBelow and aloneNormalFrom replace them where a run has too few
+	// siblings and is compared with its estimate, which may be half of the truth.
+	aloneSlowBelow  = 0.2
+	aloneNormalFrom = 0.5
+	// minSiblings is the least number of tasks on other workers whose median is a
+	// reference.
+	minSiblings = 3
+	// staleAfter is how long evidence holds. Workers are slow for some seconds, and a
+	// recovered one has to be used again.
+	staleAfter = 3 * time.Second
+	// recentFor is how long after its last evidence a slow worker counts as recently
+	// slow.
+	recentFor = 10 * time.Second
+	// maxSlowShare is the share of the workers with evidence above which no worker is
+	// slow: the cause is then something that they share.
+	maxSlowShare = 0.4
+	// maxSamples bounds the runs that are kept for a worker.
+	maxSamples = 16
+)
+
+// The evidence of a run, as the natural logarithm of how much more often it is seen
+// on a slow worker than on another one. 3% of the tasks need seven times the work of
+// their siblings, so the first sight of a slow run is 30 times as frequent on a slow
+// worker. A run that changes its speed has no such explanation.
+const (
+	firstEvidence  = 3.4
+	changeEvidence = 5.0
+	// aloneFactor reduces the evidence of a run without enough siblings.
+	aloneFactor = 0.5
+	// mildFactor reduces it for a run above mildFrom, which the scatter of tasks
+	// explains more often.
+	mildFactor = 0.5
+	mildFrom   = 0.35
+	// initialOdds is the logarithm of the odds that a worker is slow before there is
+	// evidence, and the lowest value. On an even fleet of 350 workers with 950 starts a
+	// second, two tasks in a row are long on some worker about once a second, and three
+	// once in 40 s. recentOdds applies to a worker that was slow shortly before. maxOdds
+	// lets one run at normal speed end the suspicion.
+	initialOdds = -7.0
+	recentOdds  = -2.5
+	maxOdds     = 3.0
+	// suspectedFrom is the value from which there is some evidence.
+	suspectedFrom = -4.0
+	// severalFrom is the value that replaces 0 where severalShare of the workers with
+	// evidence, and at least severalLeast, have reached it. Long tasks alone bring 0.3%
+	// of the workers there.
+	severalFrom  = -1.0
+	severalShare = 0.03
+	severalLeast = 3
+)
+
+// Sample is what a report says of a run.
+type Sample struct {
+	Worker sched.WorkerName
+	Task   sched.RunTask
+	// Run is the number of the run.
+	Run uint64
+	// Low and High are the bounds of the share of the task's work that the run did a
+	// second since the last sample.
+	Low, High float64
+	// Expected is the duration of the task as far as it can be known without siblings,
+	// zero if it cannot.
+	Expected time.Duration
+	At       time.Time
+}
+
+// Change is a worker that became slow, or that is not slow any more.
+type Change struct {
+	Worker sched.WorkerName
+	Slow   bool
+	// Speed is the speed relative to other workers. Tasks counts the slow tasks that
+	// showed it.
+	Speed float64
+	Tasks int
+	// Stale means that a worker is not slow any more because there is no evidence.
+	Stale bool
+}
+
+// Estimator estimates the speeds of workers. It is not safe for concurrent use.
+type Estimator struct {
+	workers map[sched.WorkerName]*record
+	// names holds the names of workers in the order in which they were added.
+	names []sched.WorkerName
+	steps map[sched.RunTask]*siblings
+	slow  int
+}
+
+// New returns an estimator without evidence.
+func New() *Estimator {
+	return &Estimator{workers: map[sched.WorkerName]*record{}, steps: map[sched.RunTask]*siblings{}}
+}
+
+// class is the speed of a run relative to its reference.
+type class uint8
+
+const (
+	classUnknown class = iota
+	classNormal
+	classSlow
+)
+
+// record is what is known of a worker.
+type record struct {
+	odds float64
+	// samples holds the last sample of each run that has a class.
+	samples []judged
+	slow    bool
+	// lastSlow is when the worker was last slow, zero if it showed normal speed since.
+	lastSlow time.Time
+	speed    float64
+}
+
+// judged is a run with its class.
+type judged struct {
+	task     sched.RunTask
+	run      uint64
+	class    class
+	relative float64
+	at       time.Time
+}
+
+// Observe adds a sample.
+func (e *Estimator) Observe(s Sample) {
+	step := e.step(s)
+	reference, alone := step.reference(s)
+	step.put(s)
+	if reference <= 0 {
+		return
+	}
+	is := classify(s, reference, alone)
+	if is == classUnknown {
+		return
+	}
+	w := e.worker(s.Worker)
+	w.add(s, is, (s.Low+s.High)/2/reference, alone)
+}
+
+// classify compares a sample with its reference. The bounds of the sample decide, so
+// one that is too rough says nothing.
+func classify(s Sample, reference float64, alone bool) class {
+	slow, normal := slowBelow, normalFrom
+	if alone {
+		slow, normal = aloneSlowBelow, aloneNormalFrom
+	}
+	switch {
+	case s.High <= slow*reference:
+		return classSlow
+	case s.Low >= normal*reference:
+		return classNormal
+	default:
+		return classUnknown
+	}
+}
+
+func (e *Estimator) worker(name sched.WorkerName) *record {
+	w := e.workers[name]
+	if w == nil {
+		w = &record{odds: initialOdds, speed: 1}
+		e.workers[name] = w
+		e.names = append(e.names, name)
+	}
+	return w
+}
+
+// add adds a sample to a worker. A run changes the odds only when its class changes:
+// a task that needs much work is slow in every report.
+func (w *record) add(s Sample, is class, relative float64, alone bool) {
+	i := slices.IndexFunc(w.samples, func(j judged) bool { return j.task == s.Task && j.run == s.Run })
+	evidence := firstEvidence
+	switch {
+	case i < 0:
+		if len(w.samples) == maxSamples {
+			w.samples = slices.Delete(w.samples, 0, 1)
+		}
+		w.samples = append(w.samples, judged{task: s.Task, run: s.Run})
+		i = len(w.samples) - 1
+	case w.samples[i].class == is:
+		evidence = 0
+	default:
+		evidence = changeEvidence
+	}
+	if alone {
+		evidence *= aloneFactor
+	}
+	if is == classSlow && relative > mildFrom {
+		evidence *= mildFactor
+	}
+	if is == classNormal {
+		evidence = -evidence
+	}
+	w.odds = min(max(w.odds+evidence, initialOdds), maxOdds)
+	w.samples[i].class, w.samples[i].relative, w.samples[i].at = is, relative, s.At
+}
+
+// Update determines which workers are slow at time now and returns the changes.
+func (e *Estimator) Update(now time.Time) []Change {
+	e.forget(now)
+	known := 0
+	for _, name := range e.names {
+		w := e.workers[name]
+		w.expire(now)
+		if len(w.samples) > 0 {
+			known++
+		}
+	}
+	suspects := e.suspects(now, known)
+	shared := float64(len(suspects)) > maxSlowShare*float64(known)
+	var out []Change
+	e.slow = 0
+	for _, name := range e.names {
+		w := e.workers[name]
+		n := suspects[name]
+		slow := n > 0 && !shared
+		if slow {
+			e.slow++
+			w.speed, w.lastSlow = w.slowSpeed(), now
+		}
+		if slow != w.slow {
+			out = append(out, w.change(name, slow, n))
+		}
+		if shared {
+			w.lastSlow = time.Time{}
+		}
+	}
+	return out
+}
+
+// suspects returns the workers with enough evidence, with the numbers of their slow
+// tasks. known is the number of workers with evidence.
+func (e *Estimator) suspects(now time.Time, known int) map[sched.WorkerName]int {
+	certain, several := map[sched.WorkerName]int{}, map[sched.WorkerName]int{}
+	for _, name := range e.names {
+		w := e.workers[name]
+		n := w.slowTasks()
+		if n == 0 || n < w.tasksNeeded(now) || w.odds < severalFrom {
+			continue
+		}
+		several[name] = n
+		if w.odds > 0 || w.slow {
+			certain[name] = n
+		}
+	}
+	if len(several) >= severalLeast && float64(len(several)) >= severalShare*float64(known) {
+		return several
+	}
+	return certain
+}
+
+// change changes whether a worker is slow.
+func (w *record) change(name sched.WorkerName, slow bool, tasks int) Change {
+	w.slow = slow
+	stale := !slow && w.odds > severalFrom
+	switch {
+	case stale:
+		w.odds = recentOdds
+	case !slow:
+		w.lastSlow = time.Time{}
+	}
+	c := Change{Worker: name, Slow: slow, Speed: w.speed, Tasks: tasks, Stale: stale}
+	if !slow {
+		w.speed = 1
+	}
+	return c
+}
+
+// expire drops stale samples. Without any the worker counts as not slow.
+func (w *record) expire(now time.Time) {
+	w.samples = slices.DeleteFunc(w.samples, func(j judged) bool { return now.Sub(j.at) > staleAfter })
+	switch {
+	case w.slow:
+	case !w.recent(now):
+		w.lastSlow = time.Time{}
+		if len(w.samples) == 0 {
+			w.odds = initialOdds
+		}
+	case w.odds <= initialOdds:
+		w.lastSlow = time.Time{} // A run showed normal speed.
+	}
+}
+
+func (w *record) recent(now time.Time) bool {
+	return !w.lastSlow.IsZero() && now.Sub(w.lastSlow) <= recentFor
+}
+
+// slowTasks counts the tasks that are slow.
+func (w *record) slowTasks() int {
+	n := 0
+	for i := range w.samples {
+		if w.samples[i].class == classSlow {
+			n++
+		}
+	}
+	return n
+}
+
+// tasksNeeded returns how many slow tasks show that the worker is slow.
+func (w *record) tasksNeeded(now time.Time) int {
+	if w.recent(now) && !w.slow {
+		return 1
+	}
+	return 2
+}
+
+// slowSpeed returns the median relative speed of the slow tasks.
+func (w *record) slowSpeed() float64 {
+	var all []float64
+	for i := range w.samples {
+		if w.samples[i].class == classSlow {
+			all = append(all, w.samples[i].relative)
+		}
+	}
+	return median(all)
+}
+
+// Slow reports whether a worker is slow, as of the last update.
+func (e *Estimator) Slow(name sched.WorkerName) bool {
+	w := e.workers[name]
+	return w != nil && w.slow
+}
+
+// Recent reports whether a worker was slow shortly before now and has not shown
+// normal speed since.
+func (e *Estimator) Recent(now time.Time, name sched.WorkerName) bool {
+	w := e.workers[name]
+	return w != nil && !w.slow && w.recent(now)
+}
+
+// Suspected reports whether there is evidence that a worker is slow, but not enough.
+func (e *Estimator) Suspected(name sched.WorkerName) bool {
+	w := e.workers[name]
+	return w != nil && !w.slow && w.odds >= suspectedFrom
+}
+
+// Speed returns the speed of a worker relative to the others. It is 1 unless the
+// worker is slow.
+func (e *Estimator) Speed(name sched.WorkerName) float64 {
+	if w := e.workers[name]; w != nil {
+		return w.speed
+	}
+	return 1
+}
+
+// SlowWorkers returns the number of slow workers.
+func (e *Estimator) SlowWorkers() int { return e.slow }
