Count the evidence of a run once, however many runs its worker has

The class of a run was kept among the last 16 samples of its worker, so on a worker with more runs a long task counted as new evidence with each report. The class is now kept with the step.

--- a/pkg/sched/speed/speed.go
+++ b/pkg/sched/speed/speed.go
@@ -161,7 +161,7 @@
 func (e *Estimator) Observe(s Sample) {
 	step := e.step(s)
 	reference, alone := step.reference(s)
-	step.put(s)
+	last := step.put(s)
 	if reference <= 0 {
 		return
 	}
@@ -169,8 +169,9 @@
 	if is == classUnknown {
 		return
 	}
-	w := e.worker(s.Worker)
-	w.add(s, is, (s.Low+s.High)/2/reference, alone)
+	relative := (s.Low + s.High) / 2 / reference
+	e.worker(s.Worker).add(judged{s.Task, s.Run, is, relative, s.At}, evidence(last.class, is, relative, alone))
+	last.class = is
 }
 
 // classify compares a sample with its reference. The bounds of the sample decide, so
@@ -200,34 +201,43 @@
 	return w
 }
 
-// add adds a sample to a worker. A run changes the odds only when its class changes:
-// a task that needs much work is slow in every report.
-func (w *record) add(s Sample, is class, relative float64, alone bool) {
-	i := slices.IndexFunc(w.samples, func(j judged) bool { return j.task == s.Task && j.run == s.Run })
-	evidence := firstEvidence
-	switch {
-	case i < 0:
-		if len(w.samples) == maxSamples {
-			w.samples = slices.Delete(w.samples, 0, 1)
-		}
-		w.samples = append(w.samples, judged{task: s.Task, run: s.Run})
-		i = len(w.samples) - 1
-	case w.samples[i].class == is:
-		evidence = 0
+// evidence returns by how much a sample changes the odds that a worker is slow. A run
+// counts only when its class changes: a task that needs much work is slow in every
+// report.
+func evidence(before, is class, relative float64, alone bool) float64 {
+	value := firstEvidence
+	switch before {
+	case is:
+		return 0
+	case classUnknown:
 	default:
-		evidence = changeEvidence
+		value = changeEvidence
 	}
 	if alone {
-		evidence *= aloneFactor
+		value *= aloneFactor
+	}
+	switch {
+	case is == classNormal:
+		return -value
+	case relative > mildFrom:
+		return value * mildFactor
+	default:
+		return value
 	}
-	if is == classSlow && relative > mildFrom {
-		evidence *= mildFactor
+}
+
+// add adds a sample to a worker, or replaces the last one of the same run.
+func (w *record) add(j judged, change float64) {
+	w.odds = min(max(w.odds+change, initialOdds), maxOdds)
+	i := slices.IndexFunc(w.samples, func(o judged) bool { return o.task == j.task && o.run == j.run })
+	if i >= 0 {
+		w.samples[i] = j
+		return
 	}
-	if is == classNormal {
-		evidence = -evidence
+	if len(w.samples) == maxSamples {
+		w.samples = slices.Delete(w.samples, 0, 1)
 	}
-	w.odds = min(max(w.odds+evidence, initialOdds), maxOdds)
-	w.samples[i].class, w.samples[i].relative, w.samples[i].at = is, relative, s.At
+	w.samples = append(w.samples, j)
 }
 
 // Update determines which workers are slow at time now and returns the changes.
--- a/pkg/sched/speed/step.go
+++ b/pkg/sched/speed/step.go
@@ -16,11 +16,14 @@
 	at    time.Time
 }
 
-// rate is the last known rate of a task.
+// rate is the last known rate of a task, zero if it was too rough to compare with, and
+// the class of its run.
 type rate struct {
 	index  int
+	run    uint64
 	worker sched.WorkerName
 	value  float64
+	class  class
 }
 
 // stepOf returns the key of a task's step.
@@ -39,19 +42,23 @@
 	return st
 }
 
-// put records the rate of a task. Rates that are too rough to compare with are left
-// out.
-func (st *siblings) put(s Sample) {
+// put records the rate of a task and returns the record, which is valid until the next
+// call.
+func (st *siblings) put(s Sample) *rate {
 	st.at = s.At
 	i := slices.IndexFunc(st.rates, func(r rate) bool { return r.index == s.Task.Index })
 	if i < 0 {
-		if s.High > 2*s.Low {
-			return
-		}
 		st.rates = append(st.rates, rate{index: s.Task.Index})
 		i = len(st.rates) - 1
 	}
-	st.rates[i].worker, st.rates[i].value = s.Worker, (s.Low+s.High)/2
+	r := &st.rates[i]
+	if r.run != s.Run {
+		r.run, r.worker, r.class = s.Run, s.Worker, classUnknown
+	}
+	if s.High <= 2*s.Low || r.value > 0 {
+		r.value = (s.Low + s.High) / 2
+	}
+	return r
 }
 
 // reference returns the rate with which a sample is compared: the median of the
@@ -72,7 +79,7 @@
 func (st *siblings) others(worker sched.WorkerName, index int) float64 {
 	all := make([]float64, 0, len(st.rates))
 	for i := range st.rates {
-		if r := &st.rates[i]; r.worker != worker && r.index != index {
+		if r := &st.rates[i]; r.value > 0 && r.worker != worker && r.index != index {
 			all = append(all, r.value)
 		}
 	}
