--- a/pkg/sched/flow/pace.go
+++ b/pkg/sched/flow/pace.go
@@ -91,15 +91,14 @@
 }
 
 // learnFinalSpeeds learns from the runs that succeeded. Such a run has ended after
-// the last report and before this one. If the worker delayed its answer, it ended
-// just before it.
+// the last report and before this one. If the worker delayed its answer, which is certain
+// only if that took long, the run ended just before it.
 func (m *Machine) learnFinalSpeeds(w *worker, msg *RenewResultMsg) {
 	if !m.stragglers {
 		return
 	}
 	rep := &msg.Report
-	earliest := rep.Clock - m.now.Sub(msg.Sent)
-	waited := w.renewal.wait > 0 && m.now.Sub(msg.Sent) > minPart
+	waited := w.renewal.wait > 0 && m.now.Sub(msg.Sent) > answerTimeout
 	for _, e := range rep.Ended {
 		r := w.runs[e.Run]
 		if r == nil || e.Seq <= w.processed || e.How != sched.EndDone || !r.pace.known || !m.comparable(r) {
@@ -114,8 +113,7 @@
 		low, high := left/longest, left/longest
 		if !waited {
 			// The run may have ended at any time between the reports.
-			shortest := max(w.reportClock, p.since) - p.since
-			high = left / max(min(shortest, earliest-p.since).Seconds(), minPart.Seconds())
+			high = left / max((w.reportClock - p.since).Seconds(), minPart.Seconds())
 		}
 		m.observe(r, low, max(high, low))
 	}
--- a/pkg/sched/flow/start.go
+++ b/pkg/sched/flow/start.go
@@ -69,7 +69,7 @@
 		m.startWithdrawn(r)
 	case msg.Err == nil && msg.Reply.Refusal == sched.OrderAccepted:
 		r.incarnationKnown = r.incarnationKnown || incarnationKnown
-		if r.resumedFrom == "" && msg.Reply.HasClock && !r.pace.known {
+		if r.resumedFrom == "" && msg.Reply.HasClock && !r.pace.known && r.tries == 1 {
 			r.pace.begin(msg.Reply.Clock, 0)
 		}
 		m.startAccepted(r)
--- a/pkg/sched/speed/speed.go
+++ b/pkg/sched/speed/speed.go
@@ -49,9 +49,12 @@
 	// recentFor is how long after its last evidence a slow worker counts as recently
 	// slow.
 	recentFor = 10 * time.Second
-	// maxSlowShare is the share of the workers with evidence above which no worker is
-	// slow: the cause is then something that they share.
-	maxSlowShare = 0.4
+	// maxSlowShare is the share of the workers with evidence, and maxSlowSamples that of
+	// the runs reported in the last sharedWindow, above which no worker is slow: the
+	// cause is then something that they share.
+	maxSlowShare   = 0.4
+	maxSlowSamples = 0.5
+	sharedWindow   = 500 * time.Millisecond
 	// maxSamples bounds the runs that are kept for a worker.
 	maxSamples = 16
 )
@@ -76,7 +79,7 @@
 	// lets one run at normal speed end the suspicion.
 	initialOdds = -7.0
 	recentOdds  = -2.5
-	maxOdds     = 3.0
+	maxOdds     = 2.0
 	// suspectedFrom is the value from which there is some evidence.
 	suspectedFrom = -4.0
 	// severalFrom is the value that replaces 0 where severalShare of the workers with
@@ -243,16 +246,18 @@
 // Update determines which workers are slow at time now and returns the changes.
 func (e *Estimator) Update(now time.Time) []Change {
 	e.forget(now)
-	known := 0
+	known, slow, all := 0, 0, 0
 	for _, name := range e.names {
 		w := e.workers[name]
 		w.expire(now)
 		if len(w.samples) > 0 {
 			known++
 		}
+		s, n := w.since(now.Add(-sharedWindow))
+		slow, all = slow+s, all+n
 	}
 	suspects := e.suspects(now, known)
-	shared := float64(len(suspects)) > maxSlowShare*float64(known)
+	shared := float64(len(suspects)) > maxSlowShare*float64(known) || float64(slow) > maxSlowSamples*float64(all)
 	var out []Change
 	e.slow = 0
 	for _, name := range e.names {
@@ -267,7 +272,7 @@
 			out = append(out, w.change(name, slow, n))
 		}
 		if shared {
-			w.lastSlow = time.Time{}
+			w.lastSlow, w.odds = time.Time{}, initialOdds
 		}
 	}
 	return out
@@ -326,6 +331,20 @@
 	}
 }
 
+// since returns how many runs were slow since a given time, and how many were reported.
+func (w *record) since(t time.Time) (slow, all int) {
+	for i := range w.samples {
+		if w.samples[i].at.Before(t) {
+			continue
+		}
+		all++
+		if w.samples[i].class == classSlow {
+			slow++
+		}
+	}
+	return slow, all
+}
+
 func (w *record) recent(now time.Time) bool {
 	return !w.lastSlow.IsZero() && now.Sub(w.lastSlow) <= recentFor
 }
--- a/pkg/sched/speed/step.go
+++ b/pkg/sched/speed/step.go
@@ -7,8 +7,13 @@
 	"github.com/mangoslip/mangoslip/pkg/sched"
 )
 
-// forgetAfter is how long the rates of a step without new samples are kept.
-const forgetAfter = 10 * time.Second
+const (
+	// forgetAfter is how long the rates of a step without new samples are kept.
+	forgetAfter = 10 * time.Second
+	// comparableFor is how long a rate is compared with those of siblings. Meanwhile all
+	// workers may have become slow.
+	comparableFor = 2 * time.Second
+)
 
 // siblings holds the rates of the tasks of one step.
 type siblings struct {
@@ -24,6 +29,7 @@
 	worker sched.WorkerName
 	value  float64
 	class  class
+	at     time.Time
 }
 
 // stepOf returns the key of a task's step.
@@ -56,7 +62,7 @@
 		r.run, r.worker, r.class = s.Run, s.Worker, classUnknown
 	}
 	if s.High <= 2*s.Low || r.value > 0 {
-		r.value = (s.Low + s.High) / 2
+		r.value, r.at = (s.Low+s.High)/2, s.At
 	}
 	return r
 }
@@ -65,28 +71,26 @@
 // siblings on other workers, or that of the expected duration if there are too few.
 // It is 0 if neither is known.
 func (st *siblings) reference(s Sample) (value float64, alone bool) {
-	if m := st.others(s.Worker, s.Task.Index); m > 0 {
-		return m, false
-	}
-	if s.Expected <= 0 {
+	all := st.others(s.Worker, s.Task.Index, s.At.Add(-comparableFor))
+	switch {
+	case len(all) >= minSiblings:
+		return median(all), false
+	case s.Expected <= 0 || len(st.rates) > minSiblings:
 		return 0, true
+	default:
+		return 1 / s.Expected.Seconds(), true
 	}
-	return 1 / s.Expected.Seconds(), true
 }
 
-// others returns the median rate of the tasks on other workers, 0 if there are too
-// few.
-func (st *siblings) others(worker sched.WorkerName, index int) float64 {
+// others returns the rates of the tasks on other workers since a given time.
+func (st *siblings) others(worker sched.WorkerName, index int, since time.Time) []float64 {
 	all := make([]float64, 0, len(st.rates))
 	for i := range st.rates {
-		if r := &st.rates[i]; r.value > 0 && r.worker != worker && r.index != index {
+		if r := &st.rates[i]; r.value > 0 && r.worker != worker && r.index != index && !r.at.Before(since) {
 			all = append(all, r.value)
 		}
 	}
-	if len(all) < minSiblings {
-		return 0
-	}
-	return median(all)
+	return all
 }
 
 // Duration returns how long the siblings of a task on other workers take, 0 if too
@@ -96,10 +100,11 @@
 	if st == nil {
 		return 0
 	}
-	if m := st.others(worker, t.Index); m > 0 {
-		return time.Duration(float64(time.Second) / m)
+	all := st.others(worker, t.Index, time.Time{})
+	if len(all) < minSiblings {
+		return 0
 	}
-	return 0
+	return time.Duration(float64(time.Second) / median(all))
 }
 
 // forget drops steps and workers without recent samples.
