--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -55,6 +55,7 @@
 	"time"
 
 	"github.com/mangoslip/mangoslip/pkg/sched"
+	"github.com/mangoslip/mangoslip/pkg/sched/speed"
 )
 
 // Machine is the state of one leader's term. It implements [sched.Machine]. It
@@ -92,6 +93,7 @@
 	interference   interference
 	estimateRecord estimateRecord
 	runtimes       runtimes
+	speeds         *speed.Estimator
 	window         startWindow
 	shortNeed      shortNeed
 
@@ -144,6 +146,8 @@
 	peersAskedAt               time.Time
 	knowledgeIsCurrent         bool
 	evacuations                evacuations
+	// runsMovedSlow counts the runs that were restarted because their worker is slow.
+	runsMovedSlow int
 	// mostAreSlow means that most workers answer late or not at all.
 	mostAreSlow bool
 }
@@ -170,6 +174,7 @@
 	m.knowledgeIsCurrent = m.knowsEnough()
 	m.commits.init()
 	m.runtimes.init()
+	m.speeds = speed.New()
 	m.interference.init()
 	m.window.size = minStartWindow
 	m.shortNeed.peak = map[int]sched.MilliCPU{}
@@ -259,6 +264,7 @@
 		m.maintainWorker(w)
 	}
 	m.moveThrottled()
+	m.restartStragglers()
 	m.stopStalled()
 	m.consolidate()
 	m.dropEndedJobs()
