--- a/pkg/sched/flow/queries.go
+++ b/pkg/sched/flow/queries.go
@@ -56,6 +56,9 @@
 	// EvacuatedDataCentres counts the evacuated data centres of which workers are known,
 	// and EvacuatedRuns the runs that are still in progress there.
 	EvacuatedDataCentres, EvacuatedRuns int
+	// SlowWorkers counts the slow workers, and RunsMovedSlow the runs that were
+	// restarted for that reason in this term.
+	SlowWorkers, RunsMovedSlow int
 }
 
 // Totals returns the sums.
@@ -64,6 +67,7 @@
 		Jobs: len(m.jobs), Live: len(m.live), Workers: len(m.order),
 		Uncommitted: len(m.commits.changed), Recovering: m.recovery.active,
 		Unanswered: m.window.ordered, StartWindow: int(m.window.size),
+		SlowWorkers: m.speeds.SlowWorkers(), RunsMovedSlow: m.runsMovedSlow,
 	}
 	for _, w := range m.order {
 		t.Runs += len(w.runs)
