Delay jobs of low value for their work in a shortage

When the work of a priority exceeds the capacity that it gets, the order by deadline serves each job just too late. Package delay takes the work in deadline order and delays the job with the lowest value for its work where the work up to a deadline does not fit. Delayed jobs come after the others of their priority and before those that are late. Without a shortage the order is unchanged.

--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -283,5 +283,7 @@
 		e.stats.Gauge("RecordsWaiting", int64(t.Uncommitted))
 		e.stats.Gauge("StartsUnanswered", int64(t.Unanswered))
 		e.stats.Gauge("StartWindow", int64(t.StartWindow))
+		e.stats.Gauge("DelayedJobs", int64(t.DelayedJobs))
+		e.stats.Gauge("ShortageCores", int64(t.ShortageCores))
 	}
 }
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -93,6 +93,7 @@
 	estimateRecord estimateRecord
 	runtimes       runtimes
 	window         startWindow
+	delays         delays
 
 	// stale means that tasks or free capacity have changed since the last
 	// scheduling pass.
@@ -169,6 +170,7 @@
 	m.commits.init()
 	m.runtimes.init()
 	m.interference.init()
+	m.delays.init()
 	m.window.size = minStartWindow
 	return m
 }
--- a/pkg/sched/flow/job.go
+++ b/pkg/sched/flow/job.go
@@ -51,6 +51,7 @@
 	// remaining counts the steps that have not ended.
 	remaining int
 	ended     bool
+	delay     occurrenceDelay
 }
 
 // step is one step of an occurrence.
--- a/pkg/sched/flow/options.go
+++ b/pkg/sched/flow/options.go
@@ -45,6 +45,8 @@
 	wallMillis                      func(time.Time) int64
 	// stopwatch is nil if durations are not measured.
 	stopwatch func() time.Time
+	// keepAll means that no job is delayed in a shortage.
+	keepAll bool
 }
 
 func defaults() options {
@@ -99,3 +101,7 @@
 // WithWallClock sets the function that returns the time of day as Unix time in
 // milliseconds. It determines when the occurrences of a repeated job are due.
 func WithWallClock(f func(now time.Time) int64) Option { return func(o *options) { o.wallMillis = f } }
+
+// WithoutDelays keeps the order of jobs in a shortage as it is without one, for
+// comparisons.
+func WithoutDelays() Option { return func(o *options) { o.keepAll = true } }
--- a/pkg/sched/flow/queries.go
+++ b/pkg/sched/flow/queries.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"math"
 	"time"
 
 	"github.com/mangoslip/mangoslip/pkg/sched"
@@ -53,6 +54,9 @@
 	// Unanswered counts the starts without a result, and StartWindow is how many there
 	// may be.
 	Unanswered, StartWindow int
+	// DelayedJobs counts the jobs that come after others because of a shortage, and
+	// ShortageCores is how many cores are missing for all of them to be in time.
+	DelayedJobs, ShortageCores int
 }
 
 // Totals returns the sums.
@@ -62,6 +66,8 @@
 		Uncommitted: len(m.commits.changed), Recovering: m.recovery.active,
 		Unanswered: m.window.ordered, StartWindow: int(m.window.size),
 	}
+	jobs, cores := m.delays.totals()
+	t.DelayedJobs, t.ShortageCores = jobs, int(math.Ceil(cores))
 	for _, w := range m.order {
 		t.Runs += len(w.runs)
 	}
--- a/pkg/sched/flow/schedule.go
+++ b/pkg/sched/flow/schedule.go
@@ -61,6 +61,7 @@
 			}
 		}
 	}
+	m.decideDelays()
 	keys := make(map[*step]urgency, len(out))
 	for _, s := range out {
 		keys[s] = m.urgency(s)
@@ -89,8 +90,9 @@
 }
 
 // urgency returns the urgency of a step. A job that has missed its objective
-// comes after those that can still meet it. A job that is so late that
-// completing it has no value comes last.
+// comes after those that can still meet it, of which those that are delayed in a
+// shortage come last. A job that is so late that completing it has no value comes
+// last of all.
 func (m *Machine) urgency(s *step) urgency {
 	q := m.fleet.Queues[s.occ.job.queue]
 	u := urgency{priority: q.Priority}
@@ -101,30 +103,40 @@
 		}
 		return u
 	}
-	chain := m.chain(s.occ)
-	stretch := q.Stretch
-	if stretch == 0 {
-		stretch = 1
-	}
-	objective := time.Duration(stretch*float64(chain)) + q.Target
+	within := objective(q, m.chain(s.occ))
 	left := m.chainFrom(s.occ, s.index)
-	u.by = s.occ.due.Add(objective - left)
+	u.by = s.occ.due.Add(within - left)
 	switch {
-	case m.now.After(s.occ.due.Add(worthlessFactor*objective - left)):
+	case m.now.After(s.occ.due.Add(worthlessFactor*within - left)):
 		u.late = lateWorthless
 	case m.now.After(u.by):
-		u.late = 1
+		u.late = lateMissed
+	case s.occ.delay.delayed:
+		u.late = lateDelayed
 	}
 	return u
 }
 
-// Values of urgency.late other than 0 (on time) and 1 (late). Short tasks come
-// before perpetual ones because they free their capacity soon, except before those
-// that have been away too long.
+// objective returns the time within which a job with the given longest chain has
+// to complete.
+func objective(q sched.Queue, chain time.Duration) time.Duration {
+	stretch := q.Stretch
+	if stretch == 0 {
+		stretch = 1
+	}
+	return time.Duration(stretch*float64(chain)) + q.Target
+}
+
+// Values of urgency.late other than 0 (on time). Short tasks come before perpetual
+// ones because they free their capacity soon, except before those that have been
+// away too long. A delayed job that gets capacity after all may still be on time,
+// so it comes before those that cannot be.
 const (
 	lateAway      = -1
-	latePerpetual = 2
-	lateWorthless = 3
+	lateDelayed   = 1
+	lateMissed    = 2
+	latePerpetual = 3
+	lateWorthless = 4
 )
 
 // worthlessFactor is how many times its objective a job may take before
@@ -145,7 +157,11 @@
 
 // chainFrom returns the expected duration of the longest chain that begins with
 // the given step.
-func (m *Machine) chainFrom(o *occurrence, from int) time.Duration {
+func (m *Machine) chainFrom(o *occurrence, from int) time.Duration { return m.tails(o, from)[from] }
+
+// tails returns the expected duration of the longest chain that begins with each
+// step from the given one on.
+func (m *Machine) tails(o *occurrence, from int) []time.Duration {
 	longest := make([]time.Duration, len(o.steps))
 	for i := len(o.steps) - 1; i >= from; i-- {
 		s := o.steps[i]
@@ -156,7 +172,7 @@
 			}
 		}
 	}
-	return longest[from]
+	return longest
 }
 
 // pass is one iteration over the waiting tasks.
