--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -285,5 +285,7 @@
 		e.stats.Gauge("StartWindow", int64(t.StartWindow))
 		e.stats.Gauge("EvacuatedDataCentres", int64(t.EvacuatedDataCentres))
 		e.stats.Gauge("EvacuatedRuns", int64(t.EvacuatedRuns))
+		e.stats.Gauge("DelayedJobs", int64(t.DelayedJobs))
+		e.stats.Gauge("ShortageCores", int64(t.ShortageCores))
 	}
 }
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -94,6 +94,7 @@
 	runtimes       runtimes
 	window         startWindow
 	shortNeed      shortNeed
+	delays         delays
 
 	// stale means that tasks or free capacity have changed since the last
 	// scheduling pass.
@@ -171,6 +172,7 @@
 	m.commits.init()
 	m.runtimes.init()
 	m.interference.init()
+	m.delays.init()
 	m.window.size = minStartWindow
 	m.shortNeed.peak = map[int]sched.MilliCPU{}
 	return m
