--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -292,5 +292,7 @@
 		}
 		e.stats.Count("RunsMoved.Slow", int64(t.RunsMovedSlow-moved))
 		moved = t.RunsMovedSlow
+		e.stats.Gauge("DelayedJobs", int64(t.DelayedJobs))
+		e.stats.Gauge("ShortageCores", int64(t.ShortageCores))
 	}
 }
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -96,6 +96,7 @@
 	speeds         *speed.Estimator
 	window         startWindow
 	shortNeed      shortNeed
+	delays         delays
 
 	// stale means that tasks or free capacity have changed since the last
 	// scheduling pass.
@@ -176,6 +177,7 @@
 	m.runtimes.init()
 	m.speeds = speed.New()
 	m.interference.init()
+	m.delays.init()
 	m.window.size = minStartWindow
 	m.shortNeed.peak = map[int]sched.MilliCPU{}
 	return m
--- a/pkg/sched/flow/options.go
+++ b/pkg/sched/flow/options.go
@@ -49,6 +49,8 @@
 	stopwatch func() time.Time
 	// stragglers means that slow workers are recognised.
 	stragglers bool
+	// keepAll means that no job is delayed in a shortage.
+	keepAll bool
 }
 
 func defaults() options {
@@ -109,3 +111,7 @@
 // WithWallClock sets the function that returns the time of day as Unix time in
 // milliseconds. It determines when the occurrences of a repeated job are due.
 func WithWallClock(f func(now time.Time) int64) Option { return func(o *options) { o.wallMillis = f } }
+
+// WithoutDelays keeps the order of jobs in a shortage as it is without one, for
+// comparisons.
+func WithoutDelays() Option { return func(o *options) { o.keepAll = true } }
--- a/pkg/sched/flow/queries.go
+++ b/pkg/sched/flow/queries.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"math"
 	"time"
 
 	"github.com/mangoslip/mangoslip/pkg/sched"
@@ -59,6 +60,9 @@
 	// SlowWorkers counts the slow workers, and RunsMovedSlow the runs that were
 	// restarted for that reason in this term.
 	SlowWorkers, RunsMovedSlow int
+	// DelayedJobs counts the jobs that come after others because of a shortage, and
+	// ShortageCores is how many cores are missing for all of them to be in time.
+	DelayedJobs, ShortageCores int
 }
 
 // Totals returns the sums.
@@ -69,6 +73,8 @@
 		Unanswered: m.window.ordered, StartWindow: int(m.window.size),
 		SlowWorkers: m.speeds.SlowWorkers(), RunsMovedSlow: m.runsMovedSlow,
 	}
+	jobs, cores := m.delays.totals()
+	t.DelayedJobs, t.ShortageCores = jobs, int(math.Ceil(cores))
 	for _, w := range m.order {
 		t.Runs += len(w.runs)
 	}
