List the late jobs on every entry

Staff could not see which jobs miss their objective. The leader's state machine determines them at most once a second, any entry answers GET /jobs/late by asking the leader, and mangoslip late prints them.

--- a/cmd/mangoslip/main.go
+++ b/cmd/mangoslip/main.go
@@ -39,7 +39,7 @@
 		"operators": {
 			&diffCmd{}, &applyCmd{}, &statusCmd{},
 			&stateCmd{action: "start"}, &stateCmd{action: "drain"}, &stateCmd{action: "stop"},
-			&releaseCmd{},
+			&releaseCmd{}, &lateCmd{},
 		},
 		"batch":                               {&submitCmd{}, &jobsCmd{}, &cancelCmd{}, &explainCmd{}},
 		"stand-ins for development and tests": {&platformCmd{}, &workerCmd{}},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 
 	"github.com/mangoslip/mangoslip/internal/guard"
 	"github.com/mangoslip/mangoslip/internal/jobs"
+	"github.com/mangoslip/mangoslip/internal/late"
 	"github.com/mangoslip/mangoslip/internal/layout"
 	"github.com/mangoslip/mangoslip/internal/leader"
 	"github.com/mangoslip/mangoslip/internal/logger"
@@ -122,7 +123,8 @@
 	e.leader = leader.New(p.Leader, p.Store, p.Orders, leader.WithLogger(e.log), leader.WithStats(e.stats),
 		leader.WithAnnouncer(e.announce), leader.WithDispatchers(e.termOrders), leader.WithAdviser(newAdviserPool(e)),
 		leader.WithReachable(e.peerReachesStore), leader.WithAskPeers(e.askPeersForContact))
-	e.jobs = jobs.New(p.Store, e.leader, (*asker)(e), jobs.WithLogger(e.log), jobs.WithAdviser(p.Adviser))
+	e.jobs = jobs.New(p.Store, e.leader, (*asker)(e), jobs.WithLogger(e.log), jobs.WithAdviser(p.Adviser),
+		jobs.WithLateSource(e.leader))
 	return e
 }
 
@@ -166,6 +168,7 @@
 	ready.HandleFunc(pat.Get(e.ReadyPath), e.serveReady)
 	metrics := goji.NewMux()
 	metrics.Handle(pat.Get("/metrics"), e.stats)
+	metrics.Handle(pat.Get(late.Path), late.New(e.jobs))
 	e.front = &http.Server{Handler: e.NewFront(e.jobs), ReadHeaderTimeout: headerTimeout}
 	for _, s := range []struct {
 		addr   netip.AddrPort
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -93,6 +93,8 @@
 	adviser sched.Adviser
 	// unknownCancels limits the cancellations of jobs that are not in the store.
 	unknownCancels *rate.Limiter
+	// late lists the late jobs while this entry leads; nil if it never lists them.
+	late LateSource
 }
 
 // Option changes a setting of a [Service].
--- a/internal/jobs/stored.go
+++ b/internal/jobs/stored.go
@@ -104,6 +104,8 @@
 		}
 	case relay.VerbAdvise:
 		s.adviseFor(ctx, q, &a)
+	case relay.VerbLate:
+		s.answerLate(q, &a)
 	}
 	return a
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,6 +46,9 @@
 	VerbLeader Verb = 5
 	// VerbAdvise asks an entry to forward a question to the adviser.
 	VerbAdvise Verb = 6
+	// VerbLate asks the leader for the late jobs. An entry of an older build answers
+	// without them and without a reason.
+	VerbLate Verb = 7
 )
 
 // Question is what one entry asks another.
@@ -57,6 +60,8 @@
 	Leader   layout.Leader   `cbor:"5,keyasint"`
 	// Advice is the question for the adviser.
 	Advice *sched.AdviceRequest `cbor:"6,keyasint,omitempty"`
+	// Limit bounds the late jobs of the answer.
+	Limit int `cbor:"7,keyasint,omitempty"`
 }
 
 // Answer is the reply. Reason is empty on success.
@@ -76,6 +81,8 @@
 	// answers to VerbLeader. StoreAnswered means that it has answered at all.
 	SinceStore    time.Duration `cbor:"9,keyasint,omitempty"`
 	StoreAnswered bool          `cbor:"10,keyasint,omitempty"`
+	// Late holds the late jobs, in answers to VerbLate.
+	Late *sched.LateJobs `cbor:"11,keyasint,omitempty"`
 }
 
 // Err returns the error of the answer, or nil on success.
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -89,6 +89,7 @@
 	recovery       recovery
 	recoveryLog    recoveryLog
 	waitsLoggedAt  time.Time
+	late           lateRecord
 	interference   interference
 	estimateRecord estimateRecord
 	runtimes       runtimes
@@ -260,6 +261,7 @@
 	m.maintainRoster()
 	m.logRecovery()
 	m.logWaits()
+	m.updateLate()
 	m.stale = true
 }
 
--- a/pkg/sched/flow/job.go
+++ b/pkg/sched/flow/job.go
@@ -27,7 +27,9 @@
 	// shown to callers only once it is durable.
 	durable sched.JobState
 	// started means that a worker is known to have started a task.
-	started    bool
+	started bool
+	// lateLogged means that the lateness of the job was logged.
+	lateLogged bool
 	cause      string
 	finishedAt time.Time
 
--- a/pkg/sched/flow/queries.go
+++ b/pkg/sched/flow/queries.go
@@ -53,6 +53,8 @@
 	// Unanswered counts the starts without a result, and StartWindow is how many there
 	// may be.
 	Unanswered, StartWindow int
+	// Late counts the late jobs.
+	Late int
 }
 
 // Totals returns the sums.
@@ -60,7 +62,7 @@
 	t := Totals{
 		Jobs: len(m.jobs), Live: len(m.live), Workers: len(m.order),
 		Uncommitted: len(m.commits.changed), Recovering: m.recovery.active,
-		Unanswered: m.window.ordered, StartWindow: int(m.window.size),
+		Unanswered: m.window.ordered, StartWindow: int(m.window.size), Late: m.countLate(),
 	}
 	for _, w := range m.order {
 		t.Runs += len(w.runs)
