--- a/cmd/mangoslip/late.go
+++ b/cmd/mangoslip/late.go
@@ -51,10 +51,11 @@
 	if len(args) > 0 {
 		return eris.Errorf("unexpected argument %q", args[0])
 	}
-	if _, _, err := net.SplitHostPort(c.addr); err != nil {
-		return eris.Wrap(err, "-addr")
+	_, port, err := net.SplitHostPort(c.addr)
+	if err == nil && port == "" {
+		err = eris.Errorf("%q has no port", c.addr)
 	}
-	return nil
+	return eris.Wrap(err, "-addr") // nil if err is nil
 }
 
 func (c *lateCmd) run(ctx context.Context) error {
--- a/pkg/sched/flow/late.go
+++ b/pkg/sched/flow/late.go
@@ -164,18 +164,20 @@
 	if s.remaining == 0 {
 		return longest
 	}
+	whole := m.duration(s)
 	for _, t := range s.tasks {
 		if t.phase != phaseDone && t.phase != phaseDropped {
-			longest = max(longest, m.taskRemaining(t))
+			longest = max(longest, m.taskRemaining(t, whole))
 		}
 	}
 	return longest
 }
 
-// taskRemaining returns how long a task still takes. Work of unknown size counts as
+// taskRemaining returns how long a task still takes, of which a whole run takes the given
+// time. Work of unknown size counts as
 // none: that of a task which an earlier leader may have started, and that of a task
 // which resumes from a checkpoint.
-func (m *Machine) taskRemaining(t *task) time.Duration {
+func (m *Machine) taskRemaining(t *task, whole time.Duration) time.Duration {
 	shortest, running := time.Duration(0), false
 	for _, r := range t.runs {
 		if left := m.remaining(r); r.state != runStopping && (!running || left < shortest) {
@@ -185,7 +187,7 @@
 	if running || t.mayBeRunning() || t.checkpoint != "" {
 		return shortest
 	}
-	return m.duration(t.step)
+	return whole
 }
 
 // longestWithoutRun returns for how long the perpetual task of an occurrence that has
