--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -94,7 +94,8 @@
 	// unknownCancels limits the cancellations of jobs that are not in the store.
 	unknownCancels *rate.Limiter
 	// late lists the late jobs while this entry leads; nil if it never lists them.
-	late LateSource
+	late        LateSource
+	lateTimeout time.Duration
 }
 
 // Option changes a setting of a [Service].
@@ -111,6 +112,7 @@
 	s := &Service{
 		store: store, leader: leader, peers: peers, log: slog.New(slog.DiscardHandler), now: time.Now,
 		ended: newStateCache(stateCacheSize), unknownCancels: rate.NewLimiter(unknownCancelsPerSecond, unknownCancelsBurst),
+		lateTimeout: lateTimeout,
 	}
 	for _, o := range opts {
 		o(s)
--- a/internal/jobs/late.go
+++ b/internal/jobs/late.go
@@ -9,9 +9,13 @@
 	"github.com/mangoslip/mangoslip/pkg/sched"
 )
 
-// lateTimeout bounds a question to the leader for the late jobs.
+// lateTimeout bounds a question to the leader for the late jobs, by default.
 const lateTimeout = 250 * time.Millisecond
 
+// WithLateTimeout sets how long the leader may take to answer which jobs are late; the
+// default is 250 ms.
+func WithLateTimeout(d time.Duration) Option { return func(s *Service) { s.lateTimeout = d } }
+
 // LateSource gives access to the late jobs in the leader's state machine.
 type LateSource interface {
 	// LateJobs returns the late jobs of a queue, or of all queues if the name is
@@ -37,7 +41,7 @@
 	case leads || !ok:
 		return sched.LateJobs{}, "", s.lateUnknown(nil)
 	}
-	a, err := s.ask(ctx, e, relay.Question{Verb: relay.VerbLate, Queue: q, Limit: limit}, lateTimeout)
+	a, err := s.ask(ctx, e, relay.Question{Verb: relay.VerbLate, Queue: q, Limit: limit}, s.lateTimeout)
 	switch {
 	case err != nil:
 		return sched.LateJobs{}, "", s.lateUnknown(err)
