--- a/cmd/mangoslip/late.go
+++ b/cmd/mangoslip/late.go
@@ -83,7 +83,7 @@
 	switch resp.StatusCode {
 	case http.StatusOK:
 	case http.StatusServiceUnavailable:
-		return late.List{}, eris.Errorf("%s cannot tell which jobs are late: no leader answers; ask again in %s s",
+		return late.List{}, eris.Errorf("%s cannot tell now which jobs are late; ask again in %s s",
 			addr, resp.Header.Get("Retry-After"))
 	default:
 		return late.List{}, eris.Errorf("%s answers with status %d", addr, resp.StatusCode)
--- a/cmd/mangoslip/late_test.go
+++ b/cmd/mangoslip/late_test.go
@@ -24,7 +24,7 @@
 			 "LateSeconds": 1.04, "TasksLeft": 20}]}`, "late", ""},
 		{http.StatusOK, `{"Leader": "entry-3", "Known": true, "Late": []}`, "late_none", ""},
 		{http.StatusOK, `{}`, "", "does not know"},
-		{http.StatusServiceUnavailable, `{"Known": false}`, "", "no leader answers"},
+		{http.StatusServiceUnavailable, `{"Known": false}`, "", "cannot tell now"},
 		{http.StatusNotFound, "404 page not found", "", "status 404"},
 	} {
 		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
