--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -294,5 +294,6 @@
 		moved = t.RunsMovedSlow
 		e.stats.Gauge("DelayedJobs", int64(t.DelayedJobs))
 		e.stats.Gauge("ShortageCores", int64(t.ShortageCores))
+		e.stats.Gauge("LateJobs", int64(t.Late))
 	}
 }
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -90,6 +90,7 @@
 	recovery       recovery
 	recoveryLog    recoveryLog
 	waitsLoggedAt  time.Time
+	late           lateRecord
 	interference   interference
 	estimateRecord estimateRecord
 	runtimes       runtimes
@@ -274,6 +275,7 @@
 	m.maintainRoster()
 	m.logRecovery()
 	m.logWaits()
+	m.updateLate()
 	m.stale = true
 }
 
--- a/pkg/sched/flow/queries.go
+++ b/pkg/sched/flow/queries.go
@@ -63,6 +63,8 @@
 	// DelayedJobs counts the jobs that come after others because of a shortage, and
 	// ShortageCores is how many cores are missing for all of them to be in time.
 	DelayedJobs, ShortageCores int
+	// Late counts the late jobs.
+	Late int
 }
 
 // Totals returns the sums.
@@ -71,7 +73,7 @@
 		Jobs: len(m.jobs), Live: len(m.live), Workers: len(m.order),
 		Uncommitted: len(m.commits.changed), Recovering: m.recovery.active,
 		Unanswered: m.window.ordered, StartWindow: int(m.window.size),
-		SlowWorkers: m.speeds.SlowWorkers(), RunsMovedSlow: m.runsMovedSlow,
+		SlowWorkers: m.speeds.SlowWorkers(), RunsMovedSlow: m.runsMovedSlow, Late: m.countLate(),
 	}
 	jobs, cores := m.delays.totals()
 	t.DelayedJobs, t.ShortageCores = jobs, int(math.Ceil(cores))
