--- a/pkg/sched/flow/late_test.go
+++ b/pkg/sched/flow/late_test.go
@@ -122,6 +122,11 @@
 		return len(list.Jobs)
 	}
 	require.Zero(t, lateAfter(time.Minute))
+	more := e.Submit(&sched.Workflow{ID: "more", Queue: "Q", Steps: []sched.StepSpec{step}}, emul.Work{})
+	require.Zero(t, lateAfter(4*time.Second), "it has not run yet")
+	require.Equal(t, 1, lateAfter(3*time.Second))
+	e.Cancel(more)
+	require.Zero(t, lateAfter(2*time.Second))
 	e.Workers[0].Drain(time.Minute)
 	require.Zero(t, lateAfter(4*time.Second))
 	require.Equal(t, 1, lateAfter(8*time.Second))
