--- a/pkg/sched/flow/start.go
+++ b/pkg/sched/flow/start.go
@@ -86,7 +86,8 @@
 
 // Wanted reports whether a start that was ordered should still be sent at time now.
 // Orders may wait for some time before they are sent. Meanwhile the job may have
-// been cancelled, the worker may drain or be evacuated, or the process may have been suspended.
+// been cancelled, the worker may drain, its data centre may be evacuated, or the
+// process may have been suspended.
 func (m *Machine) Wanted(now time.Time, worker sched.WorkerName, id sched.Run) bool {
 	m.now = now
 	w := m.workers[worker]
