--- a/pkg/sched/delay/capacity.go
+++ b/pkg/sched/delay/capacity.go
@@ -22,7 +22,7 @@
 
 func newCapacity(in *Input) *capacity {
 	c := &capacity{free: in.Free, ahead: in.Ahead, held: slices.Clone(in.Held)}
-	slices.SortStableFunc(c.held, func(a, b Held) int { return cmp.Compare(a.Until, b.Until) })
+	slices.SortFunc(c.held, func(a, b Held) int { return cmp.Compare(a.Until, b.Until) })
 	c.sums, c.lost = make([]Amount, len(c.held)+1), make([]Amount, len(c.held)+1)
 	for i, h := range c.held {
 		c.sums[i+1] = c.sums[i].Add(h.Amount)
--- a/pkg/sched/delay/delay.go
+++ b/pkg/sched/delay/delay.go
@@ -31,7 +31,7 @@
 	keepBonus = 1.25
 	// maxRefills bounds the delayed jobs for which a decision looks for capacity
 	// that the selection left, because each search looks at all parts.
-	maxRefills = 64
+	maxRefills = 16
 )
 
 // Amount is an amount of both resources: a capacity in cores and bytes, or work
@@ -153,7 +153,7 @@
 			out = append(out, item{i, deadline(p), p.Work})
 		}
 	}
-	slices.SortStableFunc(out, func(a, b item) int { return cmp.Compare(a.at, b.at) })
+	slices.SortFunc(out, func(a, b item) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.job, b.job)) })
 	return out
 }
 
--- a/pkg/sched/flow/delay.go
+++ b/pkg/sched/flow/delay.go
@@ -100,7 +100,7 @@
 // decideDelays decides for each pool which occurrences are delayed.
 func (m *Machine) decideDelays() {
 	d := &m.delays
-	if m.keepAll || !d.at.IsZero() && m.now.Sub(d.at) < delayInterval {
+	if m.keepAll || !d.at.IsZero() && m.now.Sub(d.at) < delayInterval || m.workersUnknown() {
 		return
 	}
 	d.at = m.now
@@ -123,6 +123,18 @@
 	}
 }
 
+// workersUnknown reports whether the capacity cannot be told yet, because more than
+// a tenth of the workers have not reported their runs to this leader.
+func (m *Machine) workersUnknown() bool {
+	unknown := 0
+	for _, w := range m.order {
+		if w.listed && !w.accounted {
+			unknown++
+		}
+	}
+	return 10*unknown > len(m.order)
+}
+
 // contenders returns the occurrences that can still meet their objective, by
 // pool, the most urgent pool of each service first.
 func (m *Machine) contenders() []*contenders {
