--- a/pkg/sched/flow/pace.go
+++ b/pkg/sched/flow/pace.go
@@ -113,7 +113,7 @@
 		low, high := left/longest, left/longest
 		if !waited {
 			// The run may have ended at any time between the reports.
-			high = left / max((w.reportClock - p.since).Seconds(), minPart.Seconds())
+			high = left / max((w.reportClock-p.since).Seconds(), minPart.Seconds())
 		}
 		m.observe(r, low, max(high, low))
 	}
--- a/pkg/sched/speed/speed.go
+++ b/pkg/sched/speed/speed.go
@@ -53,7 +53,7 @@
 	// the runs reported in the last sharedWindow, above which no worker is slow: the
 	// cause is then something that they share.
 	maxSlowShare   = 0.4
-	maxSlowSamples = 0.5
+	maxSlowSamples = 0.4
 	sharedWindow   = 500 * time.Millisecond
 	// maxSamples bounds the runs that are kept for a worker.
 	maxSamples = 16
