Ask workers earlier only while one is slow

The earlier questions changed the timing of reports on even fleets, too: TestMovedTaskDoesNotWaitForReserve failed (3.3 s instead of 1.5 s).

--- a/pkg/sched/flow/pace.go
+++ b/pkg/sched/flow/pace.go
@@ -150,9 +150,9 @@
 
 // waitForLate returns how long a worker may delay its answer: at most wait, and
 // shorter if one of its runs would be late before. Each run counts once, and most end
-// in time, so that few renewals are added.
+// in time, so that few renewals are added. Nothing changes while no worker is slow.
 func (m *Machine) waitForLate(w *worker, wait time.Duration) time.Duration {
-	if !m.stragglers {
+	if m.speeds.SlowWorkers() == 0 {
 		return wait
 	}
 	if m.speeds.Suspected(w.name()) && w.shortRuns() > 1 {
