Let the tests of late reports and shared slowness see broken code

TestSharedSlowness marked workers whose samples came before those of the others, which had no reference. The delay of TestEvenWorkersAreNotSlow/late_reports left too few workers delayed to show the end of a run that is taken for later than it was.

--- a/pkg/sched/flow/straggle_test.go
+++ b/pkg/sched/flow/straggle_test.go
@@ -170,9 +170,9 @@
 			}
 		},
 		"late reports": func(u *uneven) {
-			for _, w := range u.Workers[:9] {
-				w.AnswerDelay = 350 * time.Millisecond
-				u.After(6*time.Second, func() { w.AnswerDelay = 0 })
+			for _, w := range u.Workers[:18] {
+				w.AnswerDelay = 280 * time.Millisecond
+				u.After(10*time.Second, func() { w.AnswerDelay = 0 })
 			}
 		},
 	}
--- a/pkg/sched/speed/speed_test.go
+++ b/pkg/sched/speed/speed_test.go
@@ -148,7 +148,7 @@
 func TestSharedSlowness(t *testing.T) {
 	f := newFleet(t)
 	for range 20 {
-		f.fresh(0, 1, 2, 3, 4)
+		f.fresh(5, 6, 7, 8, 9)
 		f.requireSlow()
 	}
 	for i := range 10 {
