--- /dev/null
+++ b/internal/crowd/proc_test.go
@@ -0,0 +1,138 @@
+package crowd
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mangoslip/mangoslip/platform/setup"
+	"github.com/mangoslip/mangoslip/platform/stand"
+)
+
+const (
+	host, prefix = "queue.example", "/q/"
+	// waitLimit bounds waits for the process. It only keeps a failed test short.
+	waitLimit = 30 * time.Second
+)
+
+// build builds the program once for all tests.
+var build = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "crowd")
+	if err != nil {
+		return "", err
+	}
+	bin := filepath.Join(dir, "mangoslip")
+	out, err := exec.Command("go", "build", "-buildvcs=false", "-o", bin, "github.com/mangoslip/mangoslip/cmd/mangoslip").CombinedOutput()
+	if err != nil {
+		err = fmt.Errorf("build: %w: %s", err, out)
+	}
+	return bin, err
+})
+
+// entry is a running entry. done is closed when its process has ended.
+type entry struct {
+	t     *testing.T
+	cmd   *exec.Cmd
+	front string
+	done  chan struct{}
+}
+
+// startEntry starts an entry on the given port and the three after it, and waits
+// until it accepts a job. The settings are added to those of the stand-in.
+func startEntry(t *testing.T, port int, settings string) (*entry, *stand.Platform) {
+	t.Helper()
+	bin, err := build()
+	require.NoError(t, err)
+	s, err := stand.New(1, 2)
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	s.Configure(1, host, prefix)
+	file := filepath.Join(t.TempDir(), "settings")
+	text := append(stand.Settings("e1", "dc0", port, s.StoreAddr), settings...)
+	require.NoError(t, os.WriteFile(file, text, 0o600))
+	e := &entry{t: t, cmd: exec.Command(bin, "serve", "-metrics-port", strconv.Itoa(port+3)), done: make(chan struct{})}
+	e.front = fmt.Sprintf("127.0.0.1:%d", port)
+	e.cmd.Env = append(os.Environ(), setup.Variable+"="+file)
+	e.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	e.cmd.Stderr = os.Stderr
+	require.NoError(t, e.cmd.Start())
+	go func() {
+		_ = e.cmd.Wait()
+		close(e.done)
+	}()
+	t.Cleanup(func() {
+		_ = e.cmd.Process.Kill() // Fails if the process has ended.
+		<-e.done
+	})
+	e.requireAccepts("00000000000000a0")
+	return e, s
+}
+
+// lives reports whether the process has not ended.
+func (e *entry) lives() bool {
+	select {
+	case <-e.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// requireAccepts repeats a job of one task, as callers do, until it is accepted.
+func (e *entry) requireAccepts(id string) {
+	e.t.Helper()
+	client := http.Client{Timeout: 3 * time.Second}
+	defer client.CloseIdleConnections()
+	require.Eventually(e.t, func() bool {
+		r, err := http.NewRequest(http.MethodPost, "http://"+e.front+prefix+id, strings.NewReader(ordinaryJob))
+		require.NoError(e.t, err)
+		r.Host = host
+		resp, err := client.Do(r)
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		_, _ = io.Copy(io.Discard, resp.Body) // Only lets the connection be used again.
+		return resp.StatusCode == http.StatusOK
+	}, waitLimit, 100*time.Millisecond, "an ordinary job is accepted")
+}
+
+// peakMemory returns the highest resident memory so far, in bytes.
+func (e *entry) peakMemory() int {
+	e.t.Helper()
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", e.cmd.Process.Pid))
+	require.NoError(e.t, err)
+	_, rest, found := strings.Cut(string(b), "VmHWM:")
+	require.True(e.t, found)
+	n, err := strconv.Atoi(strings.Fields(rest)[0])
+	require.NoError(e.t, err)
+	return n << 10
+}
+
+// descriptors returns the number of open descriptors, or 0 if the process has ended.
+func (e *entry) descriptors() int {
+	files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", e.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	return len(files)
+}
+
+// requireStops checks that the process ends on SIGTERM.
+func (e *entry) requireStops() {
+	e.t.Helper()
+	require.NoError(e.t, e.cmd.Process.Signal(syscall.SIGTERM))
+	require.Eventually(e.t, func() bool { return !e.lives() }, waitLimit, 20*time.Millisecond, "the process ends")
+	require.Equal(e.t, 0, e.cmd.ProcessState.ExitCode())
+}
