Bound what the clients of an entry can hold

Clients that stop just short of the end of their bodies made an entry hold all that they had sent, in buffers of io.ReadAll that reach 303 KB for 256 KiB, and the servers bounded nothing but the time of a header.

Package intake bounds each listener: received bytes of all bodies (the body with the largest product of its time and its bytes is given up), time and rate of a body, connections (an idle one is closed first, then one whose request has been incomplete longest), header size, idle and write time, and the kernel's receive buffer. The bounds come from limits.memory-mb and limits.max-fds. A shutdown gives up incomplete bodies in time to remove the entry's key.

--- a/cmd/mangoslip/serve.go
+++ b/cmd/mangoslip/serve.go
@@ -19,6 +19,7 @@
 
 	"github.com/mangoslip/mangoslip/internal/daemon"
 	"github.com/mangoslip/mangoslip/internal/flags"
+	"github.com/mangoslip/mangoslip/internal/intake"
 	"github.com/mangoslip/mangoslip/internal/leader"
 	"github.com/mangoslip/mangoslip/internal/logger"
 	"github.com/mangoslip/mangoslip/internal/stats"
@@ -41,6 +42,7 @@
 	logLevel     string
 	level        slog.LevelVar
 	setup        setup.Settings
+	intake       intakeFlags
 }
 
 func (*serveCmd) Name() string     { return "serve" }
@@ -66,6 +68,7 @@
 	f.DurationVar(&c.lease, "task-lease", 4*time.Second, "duration of the lease of a run")
 	f.Float64Var(&c.dispatchFrom, "carry-from", defaultDispatchFrom,
 		"workers per core of the leader at which other entries start to dispatch its orders")
+	c.intake.set(f)
 	f.StringVar(&c.logLevel, "log-level", "info", "debug, info, warn or error")
 }
 
@@ -99,7 +102,7 @@
 		return eris.Errorf("-task-lease %s is not between 0 and the platform's bound of %s", c.lease, s.MaxLease)
 	}
 	c.setup = s
-	return nil
+	return c.intake.validate()
 }
 
 // heapShare is the fraction of the memory limit that is set as the soft limit of
@@ -128,6 +131,7 @@
 		Peer:    netip.AddrPortFrom(s.Address, s.PortLow),
 		Metrics: netip.AddrPortFrom(s.Address, uint16(c.metricsPort)),
 		Grace:   s.Grace, ReadyPath: front.ReadyPath, DispatchFrom: c.dispatchFrom,
+		Callers: c.intake.callers(s), Peers: intake.ForPeers(s.MaxFiles),
 	}, daemon.Platform{
 		Store: store, Orders: orders, Adviser: adviser, ConfigKey: fleet.ConfigKey,
 		Apply: func(value []byte) (*sched.FleetConfig, error) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,7 +12,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -24,6 +23,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/mangoslip/mangoslip/internal/guard"
+	"github.com/mangoslip/mangoslip/internal/intake"
 	"github.com/mangoslip/mangoslip/internal/jobs"
 	"github.com/mangoslip/mangoslip/internal/layout"
 	"github.com/mangoslip/mangoslip/internal/leader"
@@ -47,6 +47,8 @@
 	DispatchFrom float64
 	// ReadyPath is the path of the load balancer's readiness check.
 	ReadyPath string
+	// Callers and Peers bound the clients of Front and Peer.
+	Callers, Peers intake.Limits
 }
 
 // Platform holds the parts of the platform that an entry uses, and how the entry
@@ -89,6 +91,7 @@
 
 	t        tomb.Tomb
 	servers  []*http.Server
+	gates    []*intake.Gate
 	front    *http.Server
 	configMu sync.Mutex
 	// configVersion is the store version of the newest configuration received,
@@ -126,9 +129,6 @@
 	return e
 }
 
-// headerTimeout bounds the reading of a request's header.
-const headerTimeout = 5 * time.Second
-
 // Run serves until ctx ends, and then shuts down gracefully. It returns early with
 // an error if a part of the entry fails.
 func (e *Entry) Run(ctx context.Context) error {
@@ -166,30 +166,34 @@
 	ready.HandleFunc(pat.Get(e.ReadyPath), e.serveReady)
 	metrics := goji.NewMux()
 	metrics.Handle(pat.Get("/metrics"), e.stats)
-	e.front = &http.Server{Handler: e.NewFront(e.jobs), ReadHeaderTimeout: headerTimeout}
-	for _, s := range []struct {
-		addr   netip.AddrPort
-		server *http.Server
+	for _, l := range []struct {
+		name    string
+		addr    netip.AddrPort
+		handler http.Handler
+		limits  intake.Limits
 	}{
-		{e.Front, e.front},
-		{e.Ready, &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}},
-		{e.Peer, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}},
-		{e.Metrics, &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout}},
+		{"Front", e.Front, e.NewFront(e.jobs), e.Callers},
+		{"Ready", e.Ready, ready, intake.ForChecks()},
+		{"Peer", e.Peer, mux, e.Peers},
+		{"Metrics", e.Metrics, metrics, intake.ForChecks()},
 	} {
-		if err := e.start(s.addr, s.server); err != nil {
+		gate := intake.New(l.name, l.limits, intake.WithLogger(e.log), intake.WithStats(e.stats))
+		server := gate.Server(l.handler)
+		e.gates, e.servers = append(e.gates, gate), append(e.servers, server)
+		if err := e.start(l.addr, gate, server); err != nil {
 			return err
 		}
 	}
+	e.front = e.servers[0]
 	return nil
 }
 
 // start listens on an address and serves it until the entry stops.
-func (e *Entry) start(addr netip.AddrPort, s *http.Server) error {
-	l, err := net.Listen("tcp", addr.String())
+func (e *Entry) start(addr netip.AddrPort, g *intake.Gate, s *http.Server) error {
+	l, err := g.Listen(addr)
 	if err != nil {
-		return sched.Wrap(err, "listen", addr.String())
+		return err
 	}
-	e.servers = append(e.servers, s)
 	e.t.Go(func() error {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !e.stopping.Load() {
 			return sched.Wrap(err, "serve", addr.String())
@@ -224,6 +228,8 @@
 	balancerDelay = 2200 * time.Millisecond
 	// stopMargin is the part of Grace that is left for the exit of the process.
 	stopMargin = 700 * time.Millisecond
+	// unregisterMargin is the part of Grace that is left for removing the entry's key.
+	unregisterMargin = 300 * time.Millisecond
 )
 
 // stop performs a graceful shutdown, which the log calls a planned stop. The
@@ -241,9 +247,7 @@
 	e.leader.Resign(ctx)
 	e.front.SetKeepAlivesEnabled(false)
 	pause(ctx, balancerDelay)
-	if err := e.front.Shutdown(ctx); err != nil {
-		e.log.Warn("callers were still connected when the grace period of the shutdown ended", "error", err)
-	}
+	e.shutDownFront(ctx)
 	e.unregister(ctx)
 	for _, s := range e.servers {
 		_ = s.Close() // The exit of the process closes what is left.
@@ -251,6 +255,21 @@
 	e.log.Info("planned stop done", "took", time.Since(began))
 }
 
+// shutDownFront serves the callers that are connected. Near the end of ctx it gives
+// up the requests that are not whole, so that their callers learn that they have not
+// run and enough time is left to unregister.
+func (e *Entry) shutDownFront(ctx context.Context) {
+	if end, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, end.Add(-unregisterMargin))
+		defer cancel()
+	}
+	if err := e.front.Shutdown(ctx); err != nil {
+		e.log.Warn("callers were still connected when the grace period of the shutdown ended", "error", err)
+		e.gates[0].GiveUp()
+	}
+}
+
 // pause waits for d or until ctx ends.
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -283,5 +283,8 @@
 		e.stats.Gauge("RecordsWaiting", int64(t.Uncommitted))
 		e.stats.Gauge("StartsUnanswered", int64(t.Unanswered))
 		e.stats.Gauge("StartWindow", int64(t.StartWindow))
+		for _, g := range e.gates {
+			g.Publish()
+		}
 	}
 }
