--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -24,7 +24,7 @@
 	maxBody        = 262144
 	// sendLimit bounds how long a client sends.
 	sendLimit   = 10 * time.Second
-	ordinaryJob = `{"steps":[{"count":1,"cpu":100,"mem-mb":64,"estimate-ms":100}]}`
+	ordinaryJob = `{"spec":"x","steps":[{"count":1,"cpu":100,"mem-mb":64,"estimate-ms":100}]}`
 )
 
 const (
@@ -98,7 +98,7 @@
 	c.conns = append(c.conns, conn)
 	c.mu.Unlock()
 	_ = conn.SetDeadline(time.Now().Add(sendLimit)) // Fails only on a closed connection.
-	head := fmt.Appendf(nil, "POST %s%016x HTTP/1.1\r\nHost: %s\r\n", prefix, 0xc0000+client, host)
+	head := fmt.Appendf(nil, "POST %s%s HTTP/1.1\r\nHost: %s\r\n", prefix, clientID(client), host)
 	if _, err := conn.Write(head); err != nil {
 		return // The entry may close connections.
 	}
@@ -120,26 +120,32 @@
 }
 
 // Guards against clients that make an entry hold so many bodies or connections that
-// its machine has no memory or its process no descriptors left.
+// its machine has no memory or its process no descriptors left. The entry also leads,
+// so the job that ends shows that the leader's orders go out.
 func TestCrowd(t *testing.T) {
 	for i, c := range []struct {
-		name     string
-		payloads []string
+		name      string
+		payloads  []string
+		storeDown bool
 	}{
-		{"LargeChunks", []string{largeChunks}},
-		{"TinyChunks", []string{tinyChunks}},
-		{"ShortLength", []string{shortLength}},
-		{"Whole", []string{wholeJob, manySteps}},
-		{"Mix", []string{largeChunks, tinyChunks, shortLength, wholeJob, manySteps, deepNest}},
+		{"LargeChunks", []string{largeChunks}, false},
+		{"TinyChunks", []string{tinyChunks}, false},
+		{"ShortLength", []string{shortLength}, false},
+		{"Whole", []string{wholeJob, manySteps}, false},
+		{"Mix", []string{largeChunks, tinyChunks, shortLength, wholeJob, manySteps, deepNest}, false},
+		{"StoreDown", []string{largeChunks, shortLength, wholeJob}, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			e, _ := startEntry(t, firstPort+10*i, settings)
+			e, s := startEntry(t, firstPort+10*i, settings)
 			rest := e.peakMemory()
 			var clients crowd
 			defer clients.close()
+			s.Store.SetDown(c.storeDown)
 			descriptors := clients.gather(e, c.payloads)
+			s.Store.SetDown(false)
 			require.True(t, e.lives(), "the process has ended")
-			e.requireAccepts("00000000000000a1")
+			e.requireAccepts(laterID)
+			e.requireSucceeds(laterID)
 			require.True(t, e.lives(), "the process has ended")
 			peak := e.peakMemory()
 			t.Logf("resident memory %d MB at rest, %d MB at most; %d descriptors at most", rest>>20, peak>>20, descriptors)
--- a/internal/crowd/proc_test.go
+++ b/internal/crowd/proc_test.go
@@ -16,12 +16,16 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/mangoslip/mangoslip/internal/emul"
+	"github.com/mangoslip/mangoslip/pkg/sched"
 	"github.com/mangoslip/mangoslip/platform/setup"
 	"github.com/mangoslip/mangoslip/platform/stand"
 )
 
 const (
 	host, prefix = "queue.example", "/q/"
+	// firstID and laterID are the ids of the ordinary jobs.
+	firstID, laterID sched.JobID = "00000000000000a0", "00000000000000a1"
 	// waitLimit bounds waits for the process. It only keeps a failed test short.
 	waitLimit = 30 * time.Second
 )
@@ -58,6 +62,13 @@
 	require.NoError(t, err)
 	t.Cleanup(s.Close)
 	s.Configure(1, host, prefix)
+	s.With(func(em *emul.Emulator) {
+		submitJob(em, firstID)
+		submitJob(em, laterID)
+		for i := range connections {
+			submitJob(em, clientID(i))
+		}
+	})
 	file := filepath.Join(t.TempDir(), "settings")
 	text := append(stand.Settings("e1", "dc0", port, s.StoreAddr), settings...)
 	require.NoError(t, os.WriteFile(file, text, 0o600))
@@ -75,10 +86,19 @@
 		_ = e.cmd.Process.Kill() // Fails if the process has ended.
 		<-e.done
 	})
-	e.requireAccepts("00000000000000a0")
+	e.requireAccepts(firstID)
 	return e, s
 }
 
+// submitJob makes the workers know a job, as ordinaryJob describes it.
+func submitJob(em *emul.Emulator, id sched.JobID) {
+	step := sched.StepSpec{Count: 1, Resources: sched.Resources{CPU: 100, Memory: 64 << 20}}
+	em.Submit(&sched.Workflow{ID: id, Queue: stand.Queue, Steps: []sched.StepSpec{step}}, emul.Work{Duration: 100 * time.Millisecond})
+}
+
+// clientID returns the id of the job of a client of the crowd.
+func clientID(client int) sched.JobID { return sched.JobID(fmt.Sprintf("%016x", 0xc0000+client)) }
+
 // lives reports whether the process has not ended.
 func (e *entry) lives() bool {
 	select {
@@ -90,22 +110,37 @@
 }
 
 // requireAccepts repeats a job of one task, as callers do, until it is accepted.
-func (e *entry) requireAccepts(id string) {
+func (e *entry) requireAccepts(id sched.JobID) {
+	e.t.Helper()
+	e.requireEventually(http.MethodPost, id, ordinaryJob, "{}")
+}
+
+// requireSucceeds waits until a job has succeeded.
+func (e *entry) requireSucceeds(id sched.JobID) {
+	e.t.Helper()
+	e.requireEventually(http.MethodGet, id, "", `{"state":"completed"}`)
+}
+
+// requireEventually repeats a request until it is answered with a body.
+func (e *entry) requireEventually(method string, id sched.JobID, body, want string) {
 	e.t.Helper()
 	client := http.Client{Timeout: 3 * time.Second}
 	defer client.CloseIdleConnections()
-	require.Eventually(e.t, func() bool {
-		r, err := http.NewRequest(http.MethodPost, "http://"+e.front+prefix+id, strings.NewReader(ordinaryJob))
+	last := ""
+	for began := time.Now(); last != want && time.Since(began) < waitLimit; time.Sleep(100 * time.Millisecond) {
+		r, err := http.NewRequest(method, "http://"+e.front+prefix+string(id), strings.NewReader(body))
 		require.NoError(e.t, err)
 		r.Host = host
 		resp, err := client.Do(r)
 		if err != nil {
-			return false
+			last = err.Error()
+			continue
 		}
-		defer resp.Body.Close()
-		_, _ = io.Copy(io.Discard, resp.Body) // Only lets the connection be used again.
-		return resp.StatusCode == http.StatusOK
-	}, waitLimit, 100*time.Millisecond, "an ordinary job is accepted")
+		b, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		last = string(b)
+	}
+	require.Equal(e.t, want, last, "%s of job %s", method, id)
 }
 
 // peakMemory returns the highest resident memory so far, in bytes.
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -88,10 +88,8 @@
 	if b.refusal != nil {
 		return b.refusal
 	}
-	if errors.Is(err, io.EOF) {
-		b.whole = true
-		b.setDeadline(time.Time{})
-	} else if n > 0 {
+	b.whole = errors.Is(err, io.EOF)
+	if n > 0 && !b.whole { // At the end the server itself has cleared the deadline.
 		b.setDeadline(b.deadline())
 	}
 	return nil
