--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -85,7 +85,7 @@
 	s.l.conns <- theirs
 	c := &client{ours, make(chan string, 1)}
 	go func() {
-		defer ours.Close()
+		defer func() { _ = ours.Close() }()
 		resp, err := http.ReadResponse(bufio.NewReader(ours), nil)
 		if err != nil {
 			c.answer <- err.Error()
