--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -295,5 +295,8 @@
 		e.stats.Gauge("DelayedJobs", int64(t.DelayedJobs))
 		e.stats.Gauge("ShortageCores", int64(t.ShortageCores))
 		e.stats.Gauge("LateJobs", int64(t.Late))
+		for _, g := range e.gates {
+			g.Publish()
+		}
 	}
 }
