Separate jobs of functions in the bounds on clients, and clarify comments

admit held a lock over several exits, and Publish both took the counts and published them; each is now two functions with the same behaviour. Comments that were unclear to a newcomer are rewritten, Usage sections name what they left out.

--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -42,6 +42,13 @@
 	return b.began.Add(min(d, l.BodyTime))
 }
 
+// setDeadline sets the deadline of reads. An error means that the connection is
+// closed or, in tests, that there is none.
+func (b *body) setDeadline(t time.Time) { _ = b.control.SetReadDeadline(t) }
+
+// weight is the product of the time of a body in seconds and its bytes.
+func (b *body) weight(now time.Time) float64 { return now.Sub(b.began).Seconds() * float64(b.received) }
+
 // budget is the set of the bodies in progress, and the bytes that they hold.
 type budget struct {
 	bound int64
@@ -62,10 +69,6 @@
 	b.setDeadline(b.deadline())
 }
 
-// setDeadline sets the deadline of reads. An error means that the connection is
-// closed or, in tests, that there is none.
-func (b *body) setDeadline(t time.Time) { _ = b.control.SetReadDeadline(t) }
-
 // charge records the result of a read. While the bodies exceed the bound it gives up
 // the one with the largest product of its time and its bytes. It returns the refusal
 // of b if that was given up.
@@ -95,8 +98,9 @@
 	return nil
 }
 
-// victim returns the body to give up. A whole body may have run, so it is not given
-// up. The reader is the body that is being read; its handler has seen no end yet.
+// victim returns the body to give up: that with the highest weight. The job of a whole
+// body may have been accepted, so a whole body is never chosen. reader is the body that
+// is being read; it is not whole, since its handler has not seen the end.
 func (s *budget) victim(reader *body, now time.Time) *body {
 	best, highest := reader, reader.weight(now)
 	for b := range s.bodies {
@@ -107,9 +111,6 @@
 	return best
 }
 
-// weight is the product of the time of a body in seconds and its bytes.
-func (b *body) weight(now time.Time) float64 { return now.Sub(b.began).Seconds() * float64(b.received) }
-
 // refuse gives a body up and wakes its reader.
 func (s *budget) refuse(b *body, r Reason) {
 	b.refusal = &Refusal{r}
--- a/internal/intake/conns.go
+++ b/internal/intake/conns.go
@@ -72,31 +72,33 @@
 // admit adds a connection. At the bound it closes one to make room, or the new one,
 // and then returns nil.
 func (s *conns) admit(tcp *net.TCPConn, now time.Time) *conn {
-	s.mu.Lock()
-	var out *conn
-	full := len(s.open) >= s.bound
-	if full {
-		out = s.victim(now)
-		delete(s.open, out)
-	}
-	if full && out == nil {
-		s.mu.Unlock()
-		abort(tcp)
-		s.count(ConnRefused)
-		return nil
-	}
-	c := &conn{TCPConn: tcp, conns: s, since: now}
-	s.open[c] = struct{}{}
-	reason := IncompleteClosed
-	if out != nil && out.phase == idle {
-		reason = IdleClosed
-	}
-	s.mu.Unlock()
-	if out != nil {
-		abort(out.TCPConn)
+	added, excess, reason := s.add(tcp, now)
+	if excess != nil {
+		abort(excess)
 		s.count(reason)
 	}
-	return c
+	return added
+}
+
+// add adds a connection. At the bound it removes another one, or adds none. excess is
+// the connection that the caller has to close then, and reason says why.
+func (s *conns) add(tcp *net.TCPConn, now time.Time) (added *conn, excess *net.TCPConn, reason Reason) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.open) >= s.bound {
+		old := s.victim(now)
+		if old == nil {
+			return nil, tcp, ConnRefused
+		}
+		delete(s.open, old)
+		excess, reason = old.TCPConn, IncompleteClosed
+		if old.phase == idle {
+			reason = IdleClosed
+		}
+	}
+	added = &conn{TCPConn: tcp, conns: s, since: now}
+	s.open[added] = struct{}{}
+	return added, excess, reason
 }
 
 // victim returns the connection that has been idle longest, or else the one whose
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -149,12 +149,7 @@
 	g.stats.Gauge("Intake"+g.name+"BytesBound", g.limits.Bytes)
 	g.stats.Gauge("Intake"+g.name+"Conns", int64(open))
 	g.stats.Gauge("Intake"+g.name+"ConnsBound", int64(g.limits.Conns))
-	g.mu.Lock()
-	refused := g.refused
-	if len(refused) > 0 {
-		g.refused = map[Reason]int64{}
-	}
-	g.mu.Unlock()
+	refused := g.takeRefused()
 	if len(refused) == 0 {
 		return
 	}
@@ -162,3 +157,12 @@
 		"connRefused", refused[ConnRefused], "idleClosed", refused[IdleClosed], "incompleteClosed", refused[IncompleteClosed],
 		"bytes", used, "bytesBound", g.limits.Bytes, "bodies", bodies, "conns", open, "connsBound", g.limits.Conns)
 }
+
+// takeRefused returns the counts since the last call and begins new ones.
+func (g *Gate) takeRefused() map[Reason]int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	refused := g.refused
+	g.refused = map[Reason]int64{}
+	return refused
+}
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -12,7 +12,9 @@
 //	l, err := g.Listen(addr)
 //	err = g.Server(handler).Serve(l)
 //	body, err := intake.Read(r.Body) // in handler; err may be an *intake.Refusal
-//	g.Publish()                      // once a second
+//	buffer = body.AppendTo(buffer[:0])
+//	g.Publish() // once a second
+//	g.GiveUp()  // near the end of a graceful shutdown
 package intake
 
 import (
--- a/internal/jobs/late.go
+++ b/internal/jobs/late.go
@@ -9,7 +9,7 @@
 	"github.com/mangoslip/mangoslip/pkg/sched"
 )
 
-// lateTimeout bounds a question to the leader for the late jobs, by default.
+// lateTimeout is the default time that the leader may take to answer which jobs are late.
 const lateTimeout = 250 * time.Millisecond
 
 // WithLateTimeout sets how long the leader may take to answer which jobs are late; the
@@ -24,7 +24,7 @@
 }
 
 // WithLateSource sets the state machine from which this entry answers which jobs are
-// late while it leads. Without it the entry never answers them itself.
+// late while it leads. Without it the entry always asks the leader.
 func WithLateSource(l LateSource) Option { return func(s *Service) { s.late = l } }
 
 // errVerbUnknown means that the leader runs an older build without [relay.VerbLate].
--- a/internal/leader/contact.go
+++ b/internal/leader/contact.go
@@ -65,8 +65,8 @@
 	return c.workReadAt
 }
 
-// oldestRead returns when the oldest began of the last complete reads of the work, of
-// the register, and of the evacuations, if these are read.
+// oldestRead returns the earliest beginning of the last complete reads of the work, of
+// the register and, if they are read, of the evacuations.
 func (c *contact) oldestRead() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/leader/invalid.go
+++ b/internal/leader/invalid.go
@@ -4,8 +4,8 @@
 // any number of them.
 const maxLoggedInvalid = 100
 
-// logInvalid logs the keys of invalid items in a list of others, as the register of
-// workers, each once.
+// logInvalid logs the keys of invalid items in a list that others write, such as the
+// register of workers, each once.
 func (t *term) logInvalid(list string, invalid map[string]error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -27,6 +27,7 @@
 	if err != nil {
 		return 0, err
 	}
+	// stored has the order of prefixes.
 	storedProgress, members := stored[0], stored[4]
 	takeover := t.takeover(stored[1:4])
 	// The work comes last, so that cancellations are not older than necessary when
--- a/internal/leader/unread.go
+++ b/internal/leader/unread.go
@@ -7,8 +7,8 @@
 
 const (
 	// maxUnreadTime is how long the leader may renew its lease without reading the
-	// work, the register of workers or the evacuations. Shorter disturbances end by themselves, and
-	// another leader costs a takeover.
+	// work, the register of workers or the evacuations. Shorter disturbances end by
+	// themselves, and another leader costs a takeover.
 	maxUnreadTime = 5 * time.Second
 	// maxLoadTime is the same for loading the stored state, without another page of it.
 	// However many pages there are, each next leader would have to read as many.
@@ -33,8 +33,8 @@
 }
 
 // unread returns for how long the leader has renewed its lease without a complete read
-// of all that it has to know, and the limit of that time. While the
-// lease cannot be renewed, the time is 0.
+// of all that it has to know, and the limit of that time. While the lease cannot be
+// renewed, the time is 0.
 func (t *term) unread() (unread, limit time.Duration) {
 	t.l.mu.Lock()
 	loaded := t.loaded
