Explain the evidence of slowness by what it assumes

The constants of the package speed quoted a fleet's figures; they now say which share of long tasks they assume and what follows. The type of a worker's record stands with its methods, and verbs that did not tell what a function does are replaced (change, rate, take). The Usage section of the package delay keeps the state that the next decision needs. Behaviour is unchanged: the tests of both packages pass.

--- a/pkg/sched/delay/delay.go
+++ b/pkg/sched/delay/delay.go
@@ -16,6 +16,7 @@
 //			// jobs[i] comes after the others
 //		}
 //	}
+//	wasShort = d.Short // for the next decision
 package delay
 
 import (
@@ -29,12 +30,12 @@
 	// than that of a delayed one. It keeps jobs of similar value from changing
 	// sides at each decision.
 	keepBonus = 1.25
-	// beginShare is the share of the capacity that is missing at least when a shortage
-	// begins. With less, a few jobs with a short time left make the difference, and
-	// estimates are not that exact.
+	// beginShare is the share of the capacity that has to be missing for a shortage to
+	// begin. A smaller lack may come from a few jobs with a short time left, or from
+	// inexact estimates.
 	beginShare = 0.1
-	// maxRefills bounds the delayed jobs for which a decision looks for capacity
-	// that the selection left, because each search looks at all parts.
+	// maxRefills bounds the delayed jobs that refill checks, because each check
+	// looks at all parts.
 	maxRefills = 16
 )
 
@@ -133,7 +134,7 @@
 	for k, x := range order {
 		s.budgets[k] = c.until(x.at)
 	}
-	s.rate(c.total())
+	s.computeRates(c.total())
 	s.sweep()
 	s.refill()
 	d.Short = slices.Contains(d.Delayed, true)
@@ -180,9 +181,9 @@
 	candidates heap
 }
 
-// rate computes the value of each job for its work. Work counts by the resource
+// computeRates computes the value of each job for its work. Work counts by the resource
 // of which it takes the larger share.
-func (s *selection) rate(total Amount) {
+func (s *selection) computeRates(total Amount) {
 	s.rates = make([]float64, len(s.in.Jobs))
 	for i := range s.in.Jobs {
 		j := &s.in.Jobs[i]
@@ -216,15 +217,16 @@
 			if !ok {
 				break
 			}
-			if s.take(i) {
+			if s.tryDelay(i) {
 				sum = sum.Sub(s.included[i])
 			}
 		}
 	}
 }
 
-// take delays a job unless too many of its group are delayed.
-func (s *selection) take(i int) bool {
+// tryDelay delays a job unless too many of its group are delayed, and reports whether
+// it did.
+func (s *selection) tryDelay(i int) bool {
 	if g := s.in.Jobs[i].Group; g >= 0 && g < len(s.left) {
 		if s.left[g] <= 0 {
 			return false
--- a/pkg/sched/delay/value.go
+++ b/pkg/sched/delay/value.go
@@ -7,7 +7,7 @@
 	baseValue = 0.5
 	workValue = 0.5
 	maxValue  = 3.0
-	// fullTally is over how many of the last outcomes of a queue a [Tally] counts.
+	// fullTally is the number of recent outcomes that a [Tally] approximately covers.
 	fullTally = 200
 )
 
--- a/pkg/sched/speed/record.go
+++ b/pkg/sched/speed/record.go
@@ -7,8 +7,42 @@
 	"github.com/mangoslip/mangoslip/pkg/sched"
 )
 
-// change changes whether a worker is slow.
-func (w *record) change(name sched.WorkerName, slow bool, tasks int) Change {
+// record is what is known of a worker.
+type record struct {
+	odds float64
+	// samples holds the last sample of each run that has a class.
+	samples []judged
+	slow    bool
+	// lastSlow is when the worker was last slow, zero if it showed normal speed since.
+	lastSlow time.Time
+	speed    float64
+}
+
+// judged is a run with its class.
+type judged struct {
+	task     sched.RunTask
+	run      uint64
+	class    class
+	relative float64
+	at       time.Time
+}
+
+// add adds a sample to a worker, or replaces the last one of the same run.
+func (w *record) add(j judged, change float64) {
+	w.odds = min(max(w.odds+change, initialOdds), maxOdds)
+	i := slices.IndexFunc(w.samples, func(o judged) bool { return o.task == j.task && o.run == j.run })
+	if i >= 0 {
+		w.samples[i] = j
+		return
+	}
+	if len(w.samples) == maxSamples {
+		w.samples = slices.Delete(w.samples, 0, 1)
+	}
+	w.samples = append(w.samples, j)
+}
+
+// setSlow sets whether the worker is slow and returns the change.
+func (w *record) setSlow(name sched.WorkerName, slow bool, tasks int) Change {
 	w.slow = slow
 	stale := !slow && w.odds > severalFrom
 	switch {
--- a/pkg/sched/speed/speed.go
+++ b/pkg/sched/speed/speed.go
@@ -24,7 +24,6 @@
 package speed
 
 import (
-	"slices"
 	"time"
 
 	"github.com/mangoslip/mangoslip/pkg/sched"
@@ -60,9 +59,10 @@
 )
 
 // The evidence of a run, as the natural logarithm of how much more often it is seen
-// on a slow worker than on another one. 3% of the tasks need seven times the work of
-// their siblings, so the first sight of a slow run is 30 times as frequent on a slow
-// worker. A run that changes its speed has no such explanation.
+// on a slow worker than on another one. About one task in 30 is assumed to need several
+// times the work of its siblings on any worker, so the first sight of a slow run is 30
+// times as frequent on a slow worker. A change of speed during a run has no such
+// explanation.
 const (
 	firstEvidence  = 3.4
 	changeEvidence = 5.0
@@ -73,18 +73,18 @@
 	mildFactor = 0.5
 	mildFrom   = 0.35
 	// initialOdds is the logarithm of the odds that a worker is slow before there is
-	// evidence, and the lowest value. On an even fleet of 350 workers with 950 starts a
-	// second, two tasks in a row are long on some worker about once a second, and three
-	// once in 40 s. recentOdds applies to a worker that was slow shortly before. maxOdds
-	// lets one run at normal speed end the suspicion.
+	// evidence, and the lowest value. Three tasks that are slow from their start outweigh
+	// it and two do not: in a fleet of some hundred workers, some worker often gets two
+	// long tasks in a row. recentOdds applies to a worker that was slow shortly before.
+	// maxOdds lets one run at normal speed end the suspicion.
 	initialOdds = -7.0
 	recentOdds  = -2.5
 	maxOdds     = 2.0
 	// suspectedFrom is the value from which there is some evidence.
 	suspectedFrom = -4.0
 	// severalFrom is the value that replaces 0 where severalShare of the workers with
-	// evidence, and at least severalLeast, have reached it. Long tasks alone bring 0.3%
-	// of the workers there.
+	// evidence, and at least severalLeast, have reached it. Long tasks alone bring
+	// about a tenth of that share there.
 	severalFrom  = -1.0
 	severalShare = 0.03
 	severalLeast = 3
@@ -140,26 +140,6 @@
 	classSlow
 )
 
-// record is what is known of a worker.
-type record struct {
-	odds float64
-	// samples holds the last sample of each run that has a class.
-	samples []judged
-	slow    bool
-	// lastSlow is when the worker was last slow, zero if it showed normal speed since.
-	lastSlow time.Time
-	speed    float64
-}
-
-// judged is a run with its class.
-type judged struct {
-	task     sched.RunTask
-	run      uint64
-	class    class
-	relative float64
-	at       time.Time
-}
-
 // Observe adds a sample.
 func (e *Estimator) Observe(s Sample) {
 	step := e.step(s)
@@ -168,13 +148,13 @@
 	if reference <= 0 {
 		return
 	}
-	is := classify(s, reference, alone)
-	if is == classUnknown {
+	current := classify(s, reference, alone)
+	if current == classUnknown {
 		return
 	}
 	relative := (s.Low + s.High) / 2 / reference
-	e.worker(s.Worker).add(judged{s.Task, s.Run, is, relative, s.At}, evidence(last.class, is, relative, alone))
-	last.class = is
+	e.worker(s.Worker).add(judged{s.Task, s.Run, current, relative, s.At}, evidence(last.class, current, relative, alone))
+	last.class = current
 }
 
 // classify compares a sample with its reference. The bounds of the sample decide, so
@@ -207,10 +187,10 @@
 // evidence returns by how much a sample changes the odds that a worker is slow. A run
 // counts only when its class changes: a task that needs much work is slow in every
 // report.
-func evidence(before, is class, relative float64, alone bool) float64 {
+func evidence(before, current class, relative float64, alone bool) float64 {
 	value := firstEvidence
 	switch before {
-	case is:
+	case current:
 		return 0
 	case classUnknown:
 	default:
@@ -220,7 +200,7 @@
 		value *= aloneFactor
 	}
 	switch {
-	case is == classNormal:
+	case current == classNormal:
 		return -value
 	case relative > mildFrom:
 		return value * mildFactor
@@ -229,24 +209,10 @@
 	}
 }
 
-// add adds a sample to a worker, or replaces the last one of the same run.
-func (w *record) add(j judged, change float64) {
-	w.odds = min(max(w.odds+change, initialOdds), maxOdds)
-	i := slices.IndexFunc(w.samples, func(o judged) bool { return o.task == j.task && o.run == j.run })
-	if i >= 0 {
-		w.samples[i] = j
-		return
-	}
-	if len(w.samples) == maxSamples {
-		w.samples = slices.Delete(w.samples, 0, 1)
-	}
-	w.samples = append(w.samples, j)
-}
-
 // Update determines which workers are slow at time now and returns the changes.
 func (e *Estimator) Update(now time.Time) []Change {
 	e.forget(now)
-	known, slow, all := 0, 0, 0
+	known, slowRuns, allRuns := 0, 0, 0
 	for _, name := range e.names {
 		w := e.workers[name]
 		w.expire(now)
@@ -254,10 +220,10 @@
 			known++
 		}
 		s, n := w.since(now.Add(-sharedWindow))
-		slow, all = slow+s, all+n
+		slowRuns, allRuns = slowRuns+s, allRuns+n
 	}
 	suspects := e.suspects(now, known)
-	shared := float64(len(suspects)) > maxSlowShare*float64(known) || float64(slow) > maxSlowSamples*float64(all)
+	shared := float64(len(suspects)) > maxSlowShare*float64(known) || float64(slowRuns) > maxSlowSamples*float64(allRuns)
 	var out []Change
 	e.slow = 0
 	for _, name := range e.names {
@@ -269,7 +235,7 @@
 			w.speed, w.lastSlow = w.slowSpeed(), now
 		}
 		if slow != w.slow {
-			out = append(out, w.change(name, slow, n))
+			out = append(out, w.setSlow(name, slow, n))
 		}
 		if shared {
 			w.lastSlow, w.odds = time.Time{}, initialOdds
--- a/pkg/sched/speed/step.go
+++ b/pkg/sched/speed/step.go
@@ -69,7 +69,8 @@
 
 // reference returns the rate with which a sample is compared: the median of the
 // siblings on other workers, or that of the expected duration if there are too few.
-// It is 0 if neither is known.
+// It is 0 if neither is known, or if the step has enough tasks but their rates cannot be
+// compared yet.
 func (st *siblings) reference(s Sample) (value float64, alone bool) {
 	all := st.others(s.Worker, s.Task.Index, s.At.Add(-comparableFor))
 	switch {
