Name what the decisions on delays and slow workers hold

The objective of a job and the expected duration of a run were each computed in two places, and one function both added new occurrences and counted outcomes. The time at which a run was asked about was only compared with zero, so it is a flag.

Behaviour is unchanged. The tests of flow that concern late and delayed jobs, shortages, slow workers, headroom, evacuation, overload and placement pass.

--- a/pkg/sched/flow/delay.go
+++ b/pkg/sched/flow/delay.go
@@ -14,8 +14,8 @@
 	delayInterval = 100 * time.Millisecond
 	// maxDelayLines bounds the log lines on single jobs of one decision.
 	maxDelayLines = 16
-	// fixedShare is the share of its work from which a job is not delayed once it
-	// has started, and fixedTasks the number of tasks left to start.
+	// A job is not delayed any more if at least fixedShare of its work has started, or
+	// if at most fixedTasks of its tasks are left to start.
 	fixedShare = 0.5
 	fixedTasks = 2
 )
@@ -23,19 +23,19 @@
 // delays is the state of the decisions on what waits in a shortage. It is not
 // stored: a new leader computes it from the jobs.
 type delays struct {
-	at time.Time
+	decidedAt time.Time
 	// open holds the occurrences whose outcome is not known.
 	open   []*occurrence
 	queues map[sched.QueueName]*outcomes
-	// pools holds the shortages, in the order in which they began.
-	pools []*shortage
+	// shortages holds the present shortages, in the order in which they began.
+	shortages []*shortage
 }
 
 func (d *delays) init() { d.queues = map[sched.QueueName]*outcomes{} }
 
 // shortage returns the shortage of a pool, or nil.
 func (d *delays) shortage(pool delayPool) *shortage {
-	for _, s := range d.pools {
+	for _, s := range d.shortages {
 		if s.pool == pool {
 			return s
 		}
@@ -70,17 +70,19 @@
 
 // occurrenceDelay is what the decisions hold for an occurrence.
 type occurrenceDelay struct {
-	known, delayed bool
+	// added means that the occurrence was considered for the open ones.
+	added, delayed bool
 	// size is the work of all steps in core-seconds.
 	size float64
 }
 
 // waiting is an occurrence that can still meet its objective.
 type waiting struct {
-	o     *occurrence
-	job   delay.Job
-	size  int
-	queue *outcomes
+	o   *occurrence
+	job delay.Job
+	// sizeGroup is the group of the occurrence among the sizes of its queue.
+	sizeGroup int
+	queue     *outcomes
 }
 
 // contenders holds the occurrences of one pool in a decision.
@@ -100,11 +102,12 @@
 // decideDelays decides for each pool which occurrences are delayed.
 func (m *Machine) decideDelays() {
 	d := &m.delays
-	if m.keepAll || !d.at.IsZero() && m.now.Sub(d.at) < delayInterval || m.workersUnknown() {
+	if m.withoutDelays || !d.decidedAt.IsZero() && m.now.Sub(d.decidedAt) < delayInterval || m.workersUnknown() {
 		return
 	}
-	d.at = m.now
-	m.noteOutcomes()
+	d.decidedAt = m.now
+	m.addOpenOccurrences()
+	m.countOutcomes()
 	for _, q := range d.queues {
 		q.beginDecision()
 	}
@@ -116,7 +119,7 @@
 		}
 		m.decidePool(c, pools[:i])
 	}
-	for _, s := range slices.Clone(d.pools) {
+	for _, s := range slices.Clone(d.shortages) {
 		if !slices.ContainsFunc(pools, func(c *contenders) bool { return c.pool == s.pool }) {
 			m.endShortage(&contenders{pool: s.pool}, "no job is left that can be in time")
 		}
@@ -169,8 +172,8 @@
 // addContender adds an occurrence to the contenders of its pool.
 func (m *Machine) addContender(c *contenders, o *occurrence, q sched.Queue) {
 	x := waiting{o: o, queue: m.delays.queues[o.job.queue]}
-	tails := m.tails(o, 0)
-	due := o.due.Add(objective(q, slices.Max(tails))).Sub(m.now)
+	chains := m.chains(o, 0)
+	due := o.due.Add(objective(q, slices.Max(chains))).Sub(m.now)
 	late, left, unstarted := due < 0, 0, delay.Amount{}
 	for i, s := range o.steps {
 		n := s.unstarted()
@@ -178,8 +181,8 @@
 			continue
 		}
 		took := m.duration(s)
-		p := delay.Part{Due: due - tails[i] + took, Duration: took, Work: workOf(s, took, n)}
-		late = late || s.queued > 0 && due < tails[i]
+		p := delay.Part{Due: due - chains[i] + took, Duration: took, Work: workOf(s, took, n)}
+		late = late || s.queued > 0 && due < chains[i]
 		c.queued += s.queued
 		c.tasks += n
 		c.need = c.need.Add(amountOf(s).Scale(float64(n)))
@@ -195,8 +198,8 @@
 		o.delay.delayed = false
 		return
 	}
-	x.size = x.queue.group(o.delay.size)
-	x.queue.addOpen(x.size, o.delay.delayed)
+	x.sizeGroup = x.queue.group(o.delay.size)
+	x.queue.addOpen(x.sizeGroup, o.delay.delayed)
 	x.job.Value = delay.Value(o.delay.size, x.queue.mean())
 	x.job.Delayed = o.delay.delayed
 	x.job.Fixed = left <= fixedTasks || unstarted.Cores <= (1-fixedShare)*o.delay.size
@@ -256,7 +259,7 @@
 	began := s == nil
 	if began {
 		s = &shortage{pool: c.pool, since: m.now}
-		m.delays.pools = append(m.delays.pools, s)
+		m.delays.shortages = append(m.delays.shortages, s)
 	}
 	s.kept, s.delayed, s.lack = 0, 0, d.Lack
 	for i := range c.waiting {
@@ -267,13 +270,7 @@
 		}
 	}
 	if began {
-		capacity := in.Free
-		for _, h := range in.Held {
-			capacity = capacity.Add(h.Amount)
-		}
-		m.log("shortage begins", "service", c.pool.service, "priority", c.pool.priority, "bestEffort", c.pool.bestEffort,
-			"kept", s.kept, "delayed", s.delayed, "queued", c.queued, "work", c.unstarted.Cores, "ahead", in.Ahead.Cores,
-			"capacity", capacity.Cores, "free", in.Free.Cores, "memory", capacity.Memory, "lack", d.Lack)
+		m.logShortageBegin(s, c, in)
 	}
 	lines := 0
 	for i, x := range c.waiting {
@@ -283,6 +280,17 @@
 	}
 }
 
+// logShortageBegin logs a shortage with what the decision was based on.
+func (m *Machine) logShortageBegin(s *shortage, c *contenders, in delay.Input) {
+	capacity := in.Free
+	for _, h := range in.Held {
+		capacity = capacity.Add(h.Amount)
+	}
+	m.log("shortage begins", "service", c.pool.service, "priority", c.pool.priority, "bestEffort", c.pool.bestEffort,
+		"kept", s.kept, "delayed", s.delayed, "queued", c.queued, "work", c.unstarted.Cores, "ahead", in.Ahead.Cores,
+		"capacity", capacity.Cores, "free", in.Free.Cores, "memory", capacity.Memory, "lack", s.lack)
+}
+
 // setDelayed delays an occurrence or keeps it again. It reports whether that is a
 // change.
 func (m *Machine) setDelayed(x waiting, delayed, log bool) bool {
@@ -296,7 +304,7 @@
 			event = "job delayed"
 		}
 		m.log(event, "id", x.o.job.spec.ID, "queue", x.o.job.queue, "occurrence", x.o.index,
-			"due", x.job.Parts[len(x.job.Parts)-1].Due, "work", x.o.delay.size, "value", x.job.Value, "sizeGroup", x.size)
+			"due", x.job.Parts[len(x.job.Parts)-1].Due, "work", x.o.delay.size, "value", x.job.Value, "sizeGroup", x.sizeGroup)
 	}
 	return true
 }
@@ -307,7 +315,7 @@
 	if s == nil {
 		return
 	}
-	m.delays.pools = slices.DeleteFunc(m.delays.pools, func(o *shortage) bool { return o == s })
+	m.delays.shortages = slices.DeleteFunc(m.delays.shortages, func(o *shortage) bool { return o == s })
 	for _, x := range c.waiting {
 		m.setDelayed(x, false, false)
 	}
@@ -317,7 +325,7 @@
 
 // totals returns how many jobs are delayed and how many cores are missing.
 func (d *delays) totals() (jobs int, cores float64) {
-	for _, s := range d.pools {
+	for _, s := range d.shortages {
 		jobs += s.delayed
 		cores += s.lack
 	}
--- a/pkg/sched/flow/delay_test.go
+++ b/pkg/sched/flow/delay_test.go
@@ -114,7 +114,7 @@
 	}
 	slices.SortStableFunc(jobs, func(a, b *emul.Job) int { return int(work(b) - work(a)) })
 	out := served{jobs: float64(len(jobs))}
-	var in, all [3]float64
+	var onTime, all [3]float64
 	for i, j := range jobs {
 		took := j.FinalAt.Sub(j.Submitted)
 		objective := time.Duration(q.Stretch*float64(j.Work.Duration)*float64(len(j.Spec.Steps))) + q.Target
@@ -129,14 +129,14 @@
 		switch {
 		case took <= objective:
 			out.onTime++
-			in[g]++
+			onTime[g]++
 			out.value += value
 		case took <= 3*objective:
 			out.value += 0.15 * value
 		}
 	}
 	for g := range 3 {
-		out.share[g] = in[g] / all[g]
+		out.share[g] = onTime[g] / all[g]
 	}
 	return out
 }
--- a/pkg/sched/flow/delaysizes.go
+++ b/pkg/sched/flow/delaysizes.go
@@ -110,7 +110,7 @@
 	first := map[*outcomes]int{}
 	for i := range c.waiting {
 		x := &c.waiting[i]
-		if x.size == groupNone {
+		if x.sizeGroup == groupNone {
 			x.job.Group = groupNone
 			continue
 		}
@@ -122,29 +122,33 @@
 				out = append(out, delay.MaxDelayed(x.queue.byGroup[g], x.queue.openByGroup[g], x.queue.onTime()))
 			}
 		}
-		x.job.Group = base + x.size
+		x.job.Group = base + x.sizeGroup
 	}
 	return out
 }
 
-// noteOutcomes adds the occurrences that are new and removes those whose outcome
-// is known.
-func (m *Machine) noteOutcomes() {
+// addOpenOccurrences adds the occurrences that were opened since the last decision.
+func (m *Machine) addOpenOccurrences() {
 	for _, j := range m.live {
 		q := m.fleet.Queues[j.queue]
 		if q.Advised || q.Stretch == 0 && q.Target == 0 {
 			continue
 		}
 		for _, o := range j.occurrences {
-			if o != nil && !o.ended && !o.delay.known && o.index < j.opened {
-				o.delay.known = true
-				m.noteOccurrence(o)
+			if o != nil && !o.ended && !o.delay.added && o.index < j.opened {
+				o.delay.added = true
+				m.addOpenOccurrence(o)
 			}
 		}
 	}
+}
+
+// countOutcomes counts the outcomes that have become known and removes their
+// occurrences from the open ones.
+func (m *Machine) countOutcomes() {
 	keep := m.delays.open[:0]
 	for _, o := range m.delays.open {
-		if !m.noteOutcome(o) {
+		if !m.countOutcome(o) {
 			keep = append(keep, o)
 		}
 	}
@@ -152,10 +156,9 @@
 	m.delays.open = keep
 }
 
-// noteOccurrence adds an occurrence, unless it has steps that are not delayed.
-// Perpetual tasks do not end, and a gang waits for its workers in a way of its
-// own.
-func (m *Machine) noteOccurrence(o *occurrence) {
+// addOpenOccurrence adds an occurrence, unless it has steps that are not delayed.
+// Perpetual tasks do not end, and the scheduler reserves capacity for a gang.
+func (m *Machine) addOpenOccurrence(o *occurrence) {
 	for _, s := range o.steps {
 		if s.spec.Perpetual || s.spec.Gang {
 			return
@@ -171,9 +174,9 @@
 	m.delays.open = append(m.delays.open, o)
 }
 
-// noteOutcome counts the outcome of an occurrence and reports whether it is known.
+// countOutcome counts the outcome of an occurrence and reports whether it is known.
 // Jobs that failed or were cancelled do not count.
-func (m *Machine) noteOutcome(o *occurrence) bool {
+func (m *Machine) countOutcome(o *occurrence) bool {
 	j := o.job
 	if j.state.Final() && j.state != sched.JobCompleted {
 		return true
--- a/pkg/sched/flow/evacuate.go
+++ b/pkg/sched/flow/evacuate.go
@@ -12,6 +12,10 @@
 // renewed. Its workers are not usable, so their capacity does not count and no step
 // waits for their racks.
 
+// maxEvacuationLines bounds the lines about one read of the evacuations, since anyone
+// who can write to the store can name any number of data centres.
+const maxEvacuationLines = 16
+
 // EvacuationsMsg tells which data centres the operators evacuate now. Asked is when the
 // store was asked.
 type EvacuationsMsg struct {
@@ -66,10 +70,6 @@
 	m.noteLatest(&m.evacuations.readAt, msg.Asked)
 }
 
-// maxEvacuationLines bounds the lines about one read of the evacuations, since anyone
-// who can write to the store can name any number of data centres.
-const maxEvacuationLines = 16
-
 // logEvacuations logs the begin or the end of evacuations. An evacuation without workers
 // names a data centre that is not known.
 func (m *Machine) logEvacuations(event string, dataCentres []sched.DataCentre, since map[sched.DataCentre]time.Time) {
@@ -101,33 +101,3 @@
 	}
 	return len(known), runs
 }
-
-// coldStart is until when a worker is slow after its start. left and born are those of
-// the registration that said so.
-type coldStart struct {
-	until time.Time
-	left  time.Duration
-	born  int64
-}
-
-// noteCold determines until when the worker is slow. The same registration is read many
-// times, and only the first time counts.
-func (w *worker) noteCold(now time.Time) {
-	left, born := w.member.ColdLeft, w.member.Born
-	if left != w.cold.left || born != w.cold.born {
-		w.cold = coldStart{now.Add(left), left, born}
-	}
-}
-
-// coldPenalty ranks cold workers after others of the same suitability. It outweighs any
-// difference in free capacity (1 + memoryWeight), and no other difference.
-const coldPenalty = 1.25
-
-// coldPenalty returns the penalty of a worker that is slow after its start. It applies
-// only where data centres can be evacuated: whole data centres come back cold there.
-func (m *Machine) coldPenalty(w *worker) float64 {
-	if m.evacuateTime > 0 && m.now.Before(w.cold.until) {
-		return coldPenalty
-	}
-	return 0
-}
--- a/pkg/sched/flow/evacuate_test.go
+++ b/pkg/sched/flow/evacuate_test.go
@@ -24,7 +24,8 @@
 	return e
 }
 
-// newEvacuable returns these workers and their leader.
+// newEvacuable returns the workers of newDataCentres and their leader, which reads the
+// evacuations.
 func newEvacuable(evacuated ...sched.DataCentre) (*emul.Emulator, *emul.Leader) {
 	e := newDataCentres()
 	e.Evacuate(evacuated...)
--- a/pkg/sched/flow/job.go
+++ b/pkg/sched/flow/job.go
@@ -112,8 +112,8 @@
 	checkpoint string
 	// avoid lists the workers on which the task failed or stalled.
 	avoid []sched.WorkerName
-	// leftSlow means that a run was restarted because its worker is slow.
-	leftSlow bool
+	// restartedFromSlow means that a run was restarted because its worker is slow.
+	restartedFromSlow bool
 	// queuedAt is when the task last began to wait for a worker.
 	queuedAt time.Time
 	// awaySince is when the last known run of a perpetual task ended, zero if none has.
--- a/pkg/sched/flow/late.go
+++ b/pkg/sched/flow/late.go
@@ -111,11 +111,11 @@
 		if o == nil || o.ended || o.index >= j.opened {
 			continue
 		}
-		objective := m.objective(q, o)
-		late := max(m.expectedDuration(o)-objective, m.longestWithoutRun(o)-objective)
+		within := objective(q, m.chain(o))
+		late := max(m.expectedDuration(o), m.longestWithoutRun(o)) - within
 		// Without an estimate for any step the objective may be 0, which is none.
-		if objective > 0 && late > out.Late {
-			worst, out.Late, out.Objective = o, late, objective
+		if within > 0 && late > out.Late {
+			worst, out.Late, out.Objective = o, late, within
 		}
 	}
 	if worst == nil {
@@ -126,15 +126,6 @@
 	return out, true
 }
 
-// objective returns the objective for the duration of an occurrence.
-func (m *Machine) objective(q sched.Queue, o *occurrence) time.Duration {
-	stretch := q.Stretch
-	if stretch == 0 {
-		stretch = 1
-	}
-	return time.Duration(stretch*float64(m.chain(o))) + q.Target
-}
-
 // expectedDuration returns the duration of an occurrence if all its waiting tasks start
 // at once, or 0 if only perpetual steps are left.
 func (m *Machine) expectedDuration(o *occurrence) time.Duration {
@@ -173,10 +164,9 @@
 	return longest
 }
 
-// taskRemaining returns how long a task still takes, of which a whole run takes the given
-// time. Work of unknown size counts as
-// none: that of a task which an earlier leader may have started, and that of a task
-// which resumes from a checkpoint.
+// taskRemaining returns how long a task still takes if a whole run of it takes the given
+// time. Work of unknown size counts as none: that of a task which an earlier leader may
+// have started, and that of a task which resumes from a checkpoint.
 func (m *Machine) taskRemaining(t *task, whole time.Duration) time.Duration {
 	shortest, running := time.Duration(0), false
 	for _, r := range t.runs {
--- a/pkg/sched/flow/options.go
+++ b/pkg/sched/flow/options.go
@@ -49,8 +49,8 @@
 	stopwatch func() time.Time
 	// stragglers means that slow workers are recognised.
 	stragglers bool
-	// keepAll means that no job is delayed in a shortage.
-	keepAll bool
+	// withoutDelays means that no job is delayed in a shortage.
+	withoutDelays bool
 }
 
 func defaults() options {
@@ -114,4 +114,4 @@
 
 // WithoutDelays keeps the order of jobs in a shortage as it is without one, for
 // comparisons.
-func WithoutDelays() Option { return func(o *options) { o.keepAll = true } }
+func WithoutDelays() Option { return func(o *options) { o.withoutDelays = true } }
--- a/pkg/sched/flow/pace.go
+++ b/pkg/sched/flow/pace.go
@@ -7,7 +7,24 @@
 	"github.com/mangoslip/mangoslip/pkg/sched/speed"
 )
 
-// pace is the part of a run since its last sample.
+const (
+	// minPart is the shortest part of a run that is a sample. fullPart is the progress
+	// in percent, and longPart the time, after which a new part begins: percentages
+	// are whole numbers, so shorter parts are rough.
+	minPart  = 150 * time.Millisecond
+	fullPart = 4
+	longPart = 3 * time.Second
+	// askFactor is the multiple of its expected duration after which a run is asked
+	// for, so that its progress is known while a restart is still worth it.
+	askFactor = 1.4
+	// askAgainAfter is the wait of a renewal of a worker that is suspected to be slow.
+	askAgainAfter = 500 * time.Millisecond
+	// minAskWait is the shortest wait of a renewal for this reason.
+	minAskWait = 100 * time.Millisecond
+)
+
+// pace holds what is known of the speed of a run: the part of it since its last sample,
+// and the result of that sample.
 type pace struct {
 	// since is the worker's clock at the beginning of the part, and percent the
 	// progress then. known is false before the first reading.
@@ -19,8 +36,8 @@
 	// saved is the last checkpoint, and savedPercent the progress before it.
 	saved        string
 	savedPercent int
-	// askedAt is when the worker was asked about the run because it was late.
-	askedAt time.Time
+	// asked means that a renewal was timed to ask about the run when it is late.
+	asked bool
 }
 
 // begin notes the worker's clock and the progress at the beginning of a part.
@@ -37,15 +54,6 @@
 	return time.Duration(left*float64(time.Second)) - now.Sub(r.reportedAt), true
 }
 
-const (
-	// minPart is the shortest part of a run that is a sample. fullPart is the progress
-	// in percent, and longPart the time, after which a new part begins: percentages
-	// are whole numbers, so shorter parts are rough.
-	minPart  = 150 * time.Millisecond
-	fullPart = 4
-	longPart = 3 * time.Second
-)
-
 // learnSpeeds learns from the progress in a report. Parts are measured on the worker's
 // clock, so that a late report does not look like a slow run.
 func (m *Machine) learnSpeeds(w *worker, rep *sched.RenewReport) {
@@ -138,35 +146,23 @@
 	return full && r.worker.busy <= float64(r.worker.member.Capacity.CPU)
 }
 
-const (
-	// askFactor is the multiple of its expected duration after which a run is asked
-	// for, so that its progress is known while a restart is still worth it.
-	askFactor = 1.4
-	// askAgainAfter is the wait of a renewal of a worker that is suspected to be slow.
-	askAgainAfter = 500 * time.Millisecond
-	// minAskWait is the shortest wait of a renewal for this reason.
-	minAskWait = 100 * time.Millisecond
-)
-
 // waitForLate returns how long a worker may delay its answer: at most wait, and
-// shorter if one of its runs would be late before. Each run counts once, and most end
-// in time, so that few renewals are added. Nothing changes while no worker is slow.
+// shorter if one of its runs would be late before. It marks the runs that this covers:
+// each run shortens one wait, and most end in time, so that few renewals are added.
+// Nothing changes while no worker is slow.
 func (m *Machine) waitForLate(w *worker, wait time.Duration) time.Duration {
 	if m.speeds.SlowWorkers() == 0 {
 		return wait
 	}
-	if m.speeds.Suspected(w.name()) && w.shortRuns() > 1 {
+	if m.speeds.Suspected(w.name()) && w.finiteRuns() > 1 {
 		wait = min(wait, askAgainAfter)
 	}
 	for _, r := range w.list {
 		s := r.task.step.spec
-		if s.Perpetual || s.Gang || r.state != runRunning || !r.pace.askedAt.IsZero() {
+		if s.Perpetual || s.Gang || r.state != runRunning || r.pace.asked {
 			continue
 		}
-		full := m.speeds.Duration(r.task.id(), w.name())
-		if full == 0 {
-			full = m.longDuration(r.task.step)
-		}
+		full := m.fullDuration(r)
 		if full == 0 {
 			continue
 		}
@@ -174,10 +170,7 @@
 		if left := max(at.Sub(m.now), minAskWait); left < wait {
 			wait = left
 		}
-		if m.now.Add(wait).Before(at) {
-			continue
-		}
-		r.pace.askedAt = at
+		r.pace.asked = !m.now.Add(wait).Before(at)
 	}
 	return wait
 }
--- a/pkg/sched/flow/schedule.go
+++ b/pkg/sched/flow/schedule.go
@@ -45,7 +45,8 @@
 	p.preempt()
 }
 
-// waitingSteps returns the steps with waiting tasks, the most urgent first.
+// waitingSteps returns the steps with waiting tasks, the most urgent first. The order
+// depends on which jobs are delayed, which it therefore decides before.
 func (m *Machine) waitingSteps() []*step {
 	defer m.timed(&m.effort.Order)()
 	var out []*step
@@ -157,11 +158,11 @@
 
 // chainFrom returns the expected duration of the longest chain that begins with
 // the given step.
-func (m *Machine) chainFrom(o *occurrence, from int) time.Duration { return m.tails(o, from)[from] }
+func (m *Machine) chainFrom(o *occurrence, from int) time.Duration { return m.chains(o, from)[from] }
 
-// tails returns the expected duration of the longest chain that begins with each
-// step from the given one on.
-func (m *Machine) tails(o *occurrence, from int) []time.Duration {
+// chains returns, by step index, the expected duration of the longest chain that
+// begins with each step from the given one on.
+func (m *Machine) chains(o *occurrence, from int) []time.Duration {
 	longest := make([]time.Duration, len(o.steps))
 	for i := len(o.steps) - 1; i >= from; i-- {
 		s := o.steps[i]
@@ -192,9 +193,9 @@
 	// reserved means that free capacity is reserved for a gang. Short tasks that
 	// come later in the pass wait.
 	reserved bool
-	// perpetual is the sum of the processors of the perpetual tasks that the pass has
-	// placed.
-	perpetual sched.MilliCPU
+	// perpetualCPU is the sum of the processors of the perpetual tasks that the pass
+	// has placed.
+	perpetualCPU sched.MilliCPU
 }
 
 // unmetRequest holds what a task that found no worker asked for, apart from
@@ -271,14 +272,14 @@
 			}
 			return
 		}
-		if !p.m.leavesHeadroom(t, q, p.perpetual) {
+		if !p.m.leavesHeadroom(t, q, p.perpetualCPU) {
 			p.m.setBlocked(s, "capacity is left to short tasks")
 			return
 		}
 		s.blocked = ""
 		p.starts++
 		if s.spec.Perpetual {
-			p.perpetual += need.CPU
+			p.perpetualCPU += need.CPU
 		}
 		p.m.startRun(t, w, p.m.nextNumber(t))
 		ranks.rerate(t, w)
--- a/pkg/sched/flow/straggle.go
+++ b/pkg/sched/flow/straggle.go
@@ -1,20 +1,20 @@
 package flow
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// slowPenalty outweighs differences in free capacity, so that a slow worker is used
 	// only if there is no other.
 	slowPenalty = 20
-	// recentlySlowRuns is how many short tasks a worker that was slow shortly before
-	// gets at a time, until a run there shows normal speed.
+	// recentlySlowRuns is how many runs that end by themselves a worker that was slow
+	// shortly before has at a time, until one of them shows normal speed.
 	recentlySlowRuns = 1
-	// maxSlowWait and midSlowWait bound how long a short task waits for another worker
+	// maxSlowWait and midSlowWait bound how long a task waits for another worker
 	// than a slow one.
 	maxSlowWait = 2 * time.Second
 	midSlowWait = time.Second
+	// minRelativeSpeed bounds the speed that is assumed of a slow worker.
+	minRelativeSpeed = 0.1
 	// restartMargin is by which factor a run has to end later than a new run elsewhere.
 	// The expected duration is rough.
 	restartMargin = 1.5
@@ -36,7 +36,7 @@
 func (m *Machine) mayRestart(r *run) bool {
 	t := r.task
 	s := t.step.spec
-	return r.state == runRunning && !t.leftSlow && !s.Perpetual && !s.Gang && len(t.runs) == 1 &&
+	return r.state == runRunning && !t.restartedFromSlow && !s.Perpetual && !s.Gang && len(t.runs) == 1 &&
 		!m.fleet.Queues[t.job().queue].Advised && t.phase == phaseActive
 }
 
@@ -89,7 +89,7 @@
 	}
 	p.made++
 	m.runsMovedSlow++
-	r.task.leftSlow = true
+	r.task.restartedFromSlow = true
 	m.log("run restarted elsewhere", "id", r.task.job().spec.ID, "task", r.task.name(), "run", r.number, "worker", r.worker.name(),
 		"speed", m.speeds.Speed(r.worker.name()), "remaining", there, "elsewhere", elsewhere, "percent", r.percent, "free", to.name())
 	m.stop(r, "its worker is slow")
@@ -109,24 +109,30 @@
 // timeElsewhere returns how long a task would take from now if its run were stopped
 // and a new one started on another worker.
 func (m *Machine) timeElsewhere(r *run) time.Duration {
-	full := m.speeds.Duration(r.task.id(), r.worker.name())
-	if full == 0 {
-		full = m.longDuration(r.task.step)
-	}
+	full := m.fullDuration(r)
 	if r.pace.saved == "" {
 		return longestStop + full
 	}
 	return longestStop + m.resumeTime + full*time.Duration(100-r.pace.savedPercent)/100
 }
 
+// fullDuration returns how long a whole run of the task takes on other workers, 0 if that
+// is not known.
+func (m *Machine) fullDuration(r *run) time.Duration {
+	if d := m.speeds.Duration(r.task.id(), r.worker.name()); d != 0 {
+		return d
+	}
+	return m.longDuration(r.task.step)
+}
+
 // longDuration returns the longer one of the submitter's estimate and the observed
 // average.
 func (m *Machine) longDuration(s *step) time.Duration {
 	return max(s.spec.Estimate, m.runtimes.mean[runtimeKey{s.occ.job.queue, s.spec.Image}])
 }
 
-// speedPenalty returns the penalty of a slow worker for a short task. It reports
-// false if the task had better wait for another worker.
+// speedPenalty returns the penalty of a slow worker for a task that ends by itself and is
+// not part of a gang. It reports false if the task had better wait for another worker.
 func (m *Machine) speedPenalty(t *task, w *worker) (float64, bool) {
 	s := t.step.spec
 	if s.Perpetual || s.Gang {
@@ -137,15 +143,12 @@
 		// Waiting is better until the time lost equals what the task takes longer.
 		loss := time.Duration(float64(m.duration(t.step)) * (1/max(m.speeds.Speed(w.name()), minRelativeSpeed) - 1))
 		return slowPenalty, m.now.Sub(t.queuedAt) >= slowWait(loss)
-	case m.speeds.Recent(m.now, w.name()) && w.shortRuns() >= recentlySlowRuns:
+	case m.speeds.Recent(m.now, w.name()) && w.finiteRuns() >= recentlySlowRuns:
 		return slowPenalty, true
 	}
 	return 0, true
 }
 
-// minRelativeSpeed bounds the speed that is assumed of a slow worker.
-const minRelativeSpeed = 0.1
-
 // slowWait returns how long a task waits rather than lose the given time. There are few
 // values because a pass tells tasks apart by how many of them they have exceeded.
 func slowWait(loss time.Duration) time.Duration {
@@ -159,8 +162,9 @@
 	}
 }
 
-// shortRuns returns the number of runs that end.
-func (w *worker) shortRuns() int {
+// finiteRuns returns the number of runs that end by themselves, best-effort ones
+// included.
+func (w *worker) finiteRuns() int {
 	n := 0
 	for _, r := range w.list {
 		if !r.task.step.spec.Perpetual {
--- a/pkg/sched/flow/straggle_test.go
+++ b/pkg/sched/flow/straggle_test.go
@@ -123,8 +123,8 @@
 	return n, all
 }
 
-// moved returns the runs that were restarted, as the leaders logged it.
-func (u *uneven) moved() int { return u.Counts["Note.run restarted elsewhere"] }
+// restarted returns how many runs the leaders restarted on other workers.
+func (u *uneven) restarted() int { return u.Counts["Note.run restarted elsewhere"] }
 
 // requireFewRestarts asserts that no task ran twice, each job ended and at most the
 // given share of the runs were restarted.
@@ -132,7 +132,7 @@
 	t.Helper()
 	requireAllEnded(t, u.Emulator, 120*time.Second)
 	requireNoViolations(t, u.Emulator)
-	require.LessOrEqual(t, float64(u.moved()), share*float64(u.Counts["Runs"]))
+	require.LessOrEqual(t, float64(u.restarted()), share*float64(u.Counts["Runs"]))
 }
 
 // Guards against jobs that are late because of slow workers, and against a remedy that
@@ -151,7 +151,7 @@
 			n, all := u.onTime()
 			total[on] += n
 			orders[on] = u.Counts["Holds"] + u.Counts["Starts"] + u.Counts["Stops"] + u.Counts["Paces"]
-			t.Logf("seed %d, on %t: %d of %d jobs in time, %d orders, %d runs, %d restarted", seed, on, n, all, orders[on], u.Counts["Runs"], u.moved())
+			t.Logf("seed %d, on %t: %d of %d jobs in time, %d orders, %d runs, %d restarted", seed, on, n, all, orders[on], u.Counts["Runs"], u.restarted())
 		}
 		require.Less(t, float64(orders[true]), 1.06*float64(orders[false]))
 	}
