--- a/pkg/sched/flow/headroom_test.go
+++ b/pkg/sched/flow/headroom_test.go
@@ -90,3 +90,35 @@
 	require.Equal(t, 1, idle.Running())
 	requireNoViolations(t, e)
 }
+
+// Guards against short tasks that never start, or perpetual ones that are held back for
+// ever, after a failure: a new leader learns the peak anew, and a pool that has lost
+// workers has less to leave free.
+func TestHeadroomAfterFailures(t *testing.T) {
+	for name, fail := range map[string]func(*emul.Emulator){
+		"NewLeader": func(e *emul.Emulator) {
+			e.Newest().Kill()
+			e.Lead()
+		},
+		"StoreOutage": func(e *emul.Emulator) {
+			e.SetStoreDown(true)
+			e.After(3*time.Second, func() { e.SetStoreDown(false) })
+		},
+		"LostWorkers": func(e *emul.Emulator) {
+			for _, w := range e.Workers[:2] {
+				w.Remove()
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e, shorts, _ := burstScenario()
+			e.After(12*time.Second, func() { fail(e) })
+			e.RunFor(60 * time.Second)
+			requireNoViolations(t, e)
+			for _, j := range *shorts {
+				require.False(t, j.FinalAt.IsZero(), "%s has not completed", j.Spec.ID)
+			}
+			require.Greater(t, e.Running(), 16, "some of the new perpetual tasks run")
+		})
+	}
+}
