Compute the chains of a job once a pass

Callers got no answer for 30 s and more after one job of 5,000 steps that do not depend on each other, or of 200 jobs of 200 steps, was accepted: the leader spent its core on the order of the waiting steps, with the state machine locked.

Cause: urgency computed the longest chain of the whole job, from each step without dependencies, again for each waiting step, in about the fourth power of the number of steps. Now one walk over the steps and dependencies of an occurrence gives all its chains, once a pass.

--- a/internal/crowd/proc_test.go
+++ b/internal/crowd/proc_test.go
@@ -56,8 +56,6 @@
 // until it accepts a job. The settings are added to those of the stand-in.
 func startEntry(t *testing.T, port int, settings string) (*entry, *stand.Platform) {
 	t.Helper()
-	bin, err := build()
-	require.NoError(t, err)
 	s, err := stand.New(1, 2)
 	require.NoError(t, err)
 	t.Cleanup(s.Close)
@@ -69,6 +67,16 @@
 			submitJob(em, clientID(i))
 		}
 	})
+	e := startProcess(t, s, port, settings)
+	e.requireAccepts(firstID)
+	return e, s
+}
+
+// startProcess starts an entry on the given port and the three after it.
+func startProcess(t *testing.T, s *stand.Platform, port int, settings string) *entry {
+	t.Helper()
+	bin, err := build()
+	require.NoError(t, err)
 	file := filepath.Join(t.TempDir(), "settings")
 	text := append(stand.Settings("e1", "dc0", port, s.StoreAddr), settings...)
 	require.NoError(t, os.WriteFile(file, text, 0o600))
@@ -86,8 +94,7 @@
 		_ = e.cmd.Process.Kill() // Fails if the process has ended.
 		<-e.done
 	})
-	e.requireAccepts(firstID)
-	return e, s
+	return e
 }
 
 // submitJob makes the workers know a job, as ordinaryJob describes it.
@@ -164,6 +171,20 @@
 	return len(files)
 }
 
+// requireServes checks that the process lives, serves an ordinary job to its end, and
+// stays within its bounds.
+func (e *entry) requireServes(id sched.JobID) {
+	e.t.Helper()
+	descriptors := e.descriptors()
+	e.requireAccepts(id)
+	e.requireSucceeds(id)
+	require.True(e.t, e.lives(), "the process has ended")
+	descriptors = max(descriptors, e.descriptors())
+	e.t.Logf("resident memory %d MB at most; %d descriptors", e.peakMemory()>>20, descriptors)
+	require.Less(e.t, e.peakMemory(), maxMemory, "resident memory")
+	require.Less(e.t, descriptors, maxDescriptors, "descriptors")
+}
+
 // requireStops checks that the process ends on SIGTERM.
 func (e *entry) requireStops() {
 	e.t.Helper()
--- a/pkg/sched/flow/delay.go
+++ b/pkg/sched/flow/delay.go
@@ -172,8 +172,8 @@
 // addContender adds an occurrence to the contenders of its pool.
 func (m *Machine) addContender(c *contenders, o *occurrence, q sched.Queue) {
 	x := waiting{o: o, queue: m.delays.queues[o.job.queue]}
-	chains := m.chains(o, 0)
-	due := o.due.Add(objective(q, slices.Max(chains))).Sub(m.now)
+	chains := m.chains(o)
+	due := o.due.Add(objective(q, chains.longest)).Sub(m.now)
 	late, left, unstarted := due < 0, 0, delay.Amount{}
 	for i, s := range o.steps {
 		n := s.unstarted()
@@ -181,8 +181,8 @@
 			continue
 		}
 		took := m.duration(s)
-		p := delay.Part{Due: due - chains[i] + took, Duration: took, Work: workOf(s, took, n)}
-		late = late || s.queued > 0 && due < chains[i]
+		p := delay.Part{Due: due - chains.from[i] + took, Duration: took, Work: workOf(s, took, n)}
+		late = late || s.queued > 0 && due < chains.from[i]
 		c.queued += s.queued
 		c.tasks += n
 		c.need = c.need.Add(amountOf(s).Scale(float64(n)))
--- a/pkg/sched/flow/delaysizes.go
+++ b/pkg/sched/flow/delaysizes.go
@@ -185,7 +185,7 @@
 	if j.state.Final() {
 		at = j.finishedAt
 	}
-	missed := at.After(o.due.Add(objective(m.fleet.Queues[j.queue], m.chain(o))))
+	missed := at.After(o.due.Add(objective(m.fleet.Queues[j.queue], m.chains(o).longest)))
 	if !o.ended && !missed {
 		return false
 	}
--- a/pkg/sched/flow/late.go
+++ b/pkg/sched/flow/late.go
@@ -111,7 +111,7 @@
 		if o == nil || o.ended || o.index >= j.opened {
 			continue
 		}
-		within := objective(q, m.chain(o))
+		within := objective(q, m.chains(o).longest)
 		late := max(m.expectedDuration(o), m.longestWithoutRun(o)) - within
 		// Without an estimate for any step the objective may be 0, which is none.
 		if within > 0 && late > out.Late {
--- a/pkg/sched/flow/schedule.go
+++ b/pkg/sched/flow/schedule.go
@@ -49,28 +49,43 @@
 // depends on which jobs are delayed, which it therefore decides before.
 func (m *Machine) waitingSteps() []*step {
 	defer m.timed(&m.effort.Order)()
-	var out []*step
+	var waiting []*occurrence
 	for _, j := range m.live {
 		for _, o := range j.occurrences {
-			if o == nil {
-				continue
-			}
-			for _, s := range o.steps {
-				if s.queued > 0 {
-					out = append(out, s)
-				}
+			if o != nil && o.waits() {
+				waiting = append(waiting, o)
 			}
 		}
 	}
 	m.decideDelays()
-	keys := make(map[*step]urgency, len(out))
-	for _, s := range out {
-		keys[s] = m.urgency(s)
+	var ranked []rankedStep
+	for _, o := range waiting {
+		c := m.chains(o)
+		for _, s := range o.steps {
+			if s.queued > 0 {
+				ranked = append(ranked, rankedStep{s, m.urgency(s, c)})
+			}
+		}
+	}
+	slices.SortStableFunc(ranked, func(a, b rankedStep) int { return a.urgency.compare(b.urgency) })
+	out := make([]*step, len(ranked))
+	for i, r := range ranked {
+		out[i] = r.step
 	}
-	slices.SortStableFunc(out, func(a, b *step) int { return keys[a].compare(keys[b]) })
 	return out
 }
 
+// waits reports whether a task of the occurrence waits for a worker.
+func (o *occurrence) waits() bool {
+	return slices.ContainsFunc(o.steps, func(s *step) bool { return s.queued > 0 })
+}
+
+// rankedStep is a step with its place in the order.
+type rankedStep struct {
+	step    *step
+	urgency urgency
+}
+
 // urgency orders steps: first by the queue's priority, then by whether the job
 // can still meet its objective, then by the time by which the step has to
 // start.
@@ -93,8 +108,8 @@
 // urgency returns the urgency of a step. A job that has missed its objective
 // comes after those that can still meet it, of which those that are delayed in a
 // shortage come last. A job that is so late that completing it has no value comes
-// last of all.
-func (m *Machine) urgency(s *step) urgency {
+// last of all. c holds the chains of the occurrence.
+func (m *Machine) urgency(s *step, c chains) urgency {
 	q := m.fleet.Queues[s.occ.job.queue]
 	u := urgency{priority: q.Priority}
 	if s.spec.Perpetual {
@@ -104,8 +119,8 @@
 		}
 		return u
 	}
-	within := objective(q, m.chain(s.occ))
-	left := m.chainFrom(s.occ, s.index)
+	within := objective(q, c.longest)
+	left := c.from[s.index]
 	u.by = s.occ.due.Add(within - left)
 	switch {
 	case m.now.After(s.occ.due.Add(worthlessFactor*within - left)):
@@ -144,38 +159,6 @@
 // completing it has no value.
 const worthlessFactor = 3
 
-// chain returns the expected duration of the longest chain of dependent steps
-// in an occurrence.
-func (m *Machine) chain(o *occurrence) time.Duration {
-	longest := time.Duration(0)
-	for i := range o.steps {
-		if len(o.steps[i].spec.After) == 0 {
-			longest = max(longest, m.chainFrom(o, i))
-		}
-	}
-	return longest
-}
-
-// chainFrom returns the expected duration of the longest chain that begins with
-// the given step.
-func (m *Machine) chainFrom(o *occurrence, from int) time.Duration { return m.chains(o, from)[from] }
-
-// chains returns, by step index, the expected duration of the longest chain that
-// begins with each step from the given one on.
-func (m *Machine) chains(o *occurrence, from int) []time.Duration {
-	longest := make([]time.Duration, len(o.steps))
-	for i := len(o.steps) - 1; i >= from; i-- {
-		s := o.steps[i]
-		longest[i] = m.duration(s)
-		for k := i + 1; k < len(o.steps); k++ {
-			if slices.Contains(o.steps[k].spec.After, i) {
-				longest[i] = max(longest[i], m.duration(s)+longest[k])
-			}
-		}
-	}
-	return longest
-}
-
 // pass is one iteration over the waiting tasks.
 type pass struct {
 	m *Machine
