--- a/internal/crowd/legal_test.go
+++ b/internal/crowd/legal_test.go
@@ -50,6 +50,7 @@
 
 // crowds are the shapes of legal jobs that take much memory or processor time.
 var crowds = []legalCrowd{
+	{"LongText", 300, 8, strings.Replace(ordinaryJob, `"x"`, `"`+strings.Repeat("x", 262_000)+`"`, 1)},
 	{"IndependentSteps", 1, 1, job(repeat(5_000, func(int) string { return step + `}` })...)},
 	{"ChainedSteps", 1, 1, job(repeat(3_000, func(i int) string {
 		return strings.Replace(fmt.Sprintf(`%s,"after":[%d]}`, step, i-1), `,"after":[-1]`, "", 1)
