Count a step without tasks as one task in the bound on a job

Callers got no answer after 16 legal jobs of 10,000 steps without tasks, each repeated 100,000 times: the leader opened the occurrences of the first job for ever, with the state machine locked and its memory growing.

Cause: the bound of 100,000 tasks on a job counts tasks only, so steps without any were not bounded. Each now counts as one task, which no job of tasks notices. A job within the bound still held the state machine, because each end of a step looked at all steps of its occurrence: a step now knows the steps that depend on it.

Evidence: TestLegalCrowd/EmptySteps.

--- a/internal/crowd/legal_test.go
+++ b/internal/crowd/legal_test.go
@@ -51,6 +51,8 @@
 // crowds are the shapes of legal jobs that take much memory or processor time.
 var crowds = []legalCrowd{
 	{"LongText", 300, 8, strings.Replace(ordinaryJob, `"x"`, `"`+strings.Repeat("x", 262_000)+`"`, 1)},
+	{"EmptySteps", 4, 4, strings.Replace(job(repeat(10_000, func(int) string { return "{}" })...),
+		`"spec"`, `"repeat-count":100000,"first-run-ms":1,"interval-ms":1,"spec"`, 1)},
 	{"IndependentSteps", 1, 1, job(repeat(5_000, func(int) string { return step + `}` })...)},
 	{"ChainedSteps", 1, 1, job(repeat(3_000, func(i int) string {
 		return strings.Replace(fmt.Sprintf(`%s,"after":[%d]}`, step, i-1), `,"after":[-1]`, "", 1)
--- a/pkg/sched/flow/accept.go
+++ b/pkg/sched/flow/accept.go
@@ -97,10 +97,15 @@
 	for i := range j.spec.Steps {
 		spec := &j.spec.Steps[i]
 		s := &step{occ: o, spec: spec, index: i, unfinishedBefore: len(spec.After), remaining: spec.Count}
+		s.tasks = make([]*task, 0, spec.Count)
 		for n := range spec.Count {
 			s.tasks = append(s.tasks, &task{step: s, index: n, unresolved: j.inherited})
 		}
 		o.steps = append(o.steps, s)
+		for _, after := range spec.After {
+			before := o.steps[after]
+			before.dependents = append(before.dependents, s)
+		}
 		if spec.Count > 0 {
 			o.remaining++
 		}
--- a/pkg/sched/flow/finish.go
+++ b/pkg/sched/flow/finish.go
@@ -26,18 +26,13 @@
 
 // openNextSteps opens the steps whose last unfinished dependency was s.
 func (m *Machine) openNextSteps(s *step) {
-	for _, next := range s.occ.steps {
-		for _, after := range next.spec.After {
-			if after != s.index {
-				continue
-			}
-			next.unfinishedBefore--
-			if s.successHidden {
-				next.resolve()
-			}
-			if next.unfinishedBefore == 0 && s.occ.job.opened > s.occ.index && !s.occ.job.state.Final() {
-				m.openStep(next)
-			}
+	for _, next := range s.dependents {
+		next.unfinishedBefore--
+		if s.successHidden {
+			next.resolve()
+		}
+		if next.unfinishedBefore == 0 && s.occ.job.opened > s.occ.index && !s.occ.job.state.Final() {
+			m.openStep(next)
 		}
 	}
 }
--- a/pkg/sched/flow/job.go
+++ b/pkg/sched/flow/job.go
@@ -62,6 +62,8 @@
 	spec  *sched.StepSpec
 	index int
 	tasks []*task
+	// dependents holds the steps with this one in their After list.
+	dependents []*step
 	// unfinishedBefore counts the steps in the spec's After list that have not
 	// ended.
 	unfinishedBefore int
--- a/pkg/sched/workflow.go
+++ b/pkg/sched/workflow.go
@@ -87,7 +87,7 @@
 }
 
 // MaxWorkflowTasks bounds the tasks of a job in all its occurrences, so that one
-// job cannot exhaust the memory of an entry.
+// job cannot exhaust the memory of an entry. A step without tasks counts as one task.
 const MaxWorkflowTasks = 100_000
 
 // Check returns an error if the job cannot be run as it is described. A step may
@@ -104,7 +104,7 @@
 		if err := w.Steps[i].check(i); err != nil {
 			return fmt.Errorf("step %d: %w", i, err)
 		}
-		total += w.Steps[i].Count
+		total += max(w.Steps[i].Count, 1)
 		if total*w.Occurrences() > MaxWorkflowTasks {
 			return fmt.Errorf("job has more than %d tasks in its %d occurrences", MaxWorkflowTasks, w.Occurrences())
 		}
