Bound what the leader keeps about images

A crowd whose jobs name ever new, long images made the leader grow by each name, also after the jobs had ended: 94 MB of 72 with 215 jobs accepted.

Cause: the averages of run times, the estimates of interference and the cached risks of each worker had an entry for each name that callers ever used, and the record of the estimates could outgrow a value of the store. All are bounded now; what became known first makes room. A name longer than 64 bytes is kept as its digest, since names are only compared. The map with a bound is a package of its own, which the cache of final states uses, too.

Evidence: TestLegalCrowd/LongImages, 40 clients with 30 jobs, images of 200,000 bytes.

--- a/internal/crowd/legal_test.go
+++ b/internal/crowd/legal_test.go
@@ -41,7 +41,7 @@
 }
 
 // legalCrowd is a number of clients, each of which sends the same job, under ids of its
-// own, again and again.
+// own, again and again. The text @id in the body stands for the id of the job.
 type legalCrowd struct {
 	name          string
 	clients, jobs int
@@ -50,6 +50,7 @@
 
 // crowds are the shapes of legal jobs that take much memory or processor time.
 var crowds = []legalCrowd{
+	{"LongImages", 40, 30, job(step + `,"image":"@id` + strings.Repeat("i", 200_000) + `"}`)},
 	{"LongText", 300, 8, strings.Replace(ordinaryJob, `"x"`, `"`+strings.Repeat("x", 262_000)+`"`, 1)},
 	{"EmptySteps", 4, 4, strings.Replace(job(repeat(10_000, func(int) string { return "{}" })...),
 		`"spec"`, `"repeat-count":100000,"first-run-ms":1,"interval-ms":1,"spec"`, 1)},
@@ -109,7 +110,8 @@
 
 // sendOne sends one job and reports whether it was accepted.
 func (c *legalCrowd) sendOne(client *http.Client, e *entry, id sched.JobID) bool {
-	r, err := http.NewRequest(http.MethodPost, "http://"+e.front+prefix+string(id), strings.NewReader(c.body))
+	body := strings.ReplaceAll(c.body, "@id", string(id))
+	r, err := http.NewRequest(http.MethodPost, "http://"+e.front+prefix+string(id), strings.NewReader(body))
 	if err != nil {
 		return false
 	}
@@ -129,7 +131,7 @@
 func TestLegalCrowd(t *testing.T) {
 	for i, c := range crowds {
 		t.Run(c.name, func(t *testing.T) {
-			require.LessOrEqual(t, len(c.body), maxBody)
+			require.LessOrEqual(t, len(strings.ReplaceAll(c.body, "@id", string(laterID))), maxBody)
 			port := legalPort + 10*i
 			e, s := startEntry(t, port, settings)
 			s.With(func(em *emul.Emulator) {
--- a/internal/jobs/stored.go
+++ b/internal/jobs/stored.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync"
 
+	"github.com/mangoslip/mangoslip/internal/cache"
 	"github.com/mangoslip/mangoslip/internal/layout"
 	"github.com/mangoslip/mangoslip/internal/relay"
 	"github.com/mangoslip/mangoslip/pkg/sched"
@@ -156,37 +157,25 @@
 // stateCacheSize bounds the number of ended jobs in the cache.
 const stateCacheSize = 4096
 
-// stateCache caches the final states of jobs that callers asked for. A new job
-// replaces the one that was added first.
+// stateCache caches the final states of jobs that callers asked for.
 type stateCache struct {
-	mu    sync.Mutex
-	state map[sched.JobID]sched.JobState
-	// ring holds the cached jobs in the order in which they were added; next is
-	// the position of the job that is replaced next.
-	ring []sched.JobID
-	next int
+	mu     sync.Mutex
+	states *cache.Cache[sched.JobID, sched.JobState]
 }
 
 func newStateCache(size int) *stateCache {
-	return &stateCache{state: map[sched.JobID]sched.JobState{}, ring: make([]sched.JobID, size)}
+	return &stateCache{states: cache.New[sched.JobID, sched.JobState](size)}
 }
 
 func (c *stateCache) get(id sched.JobID) (sched.JobState, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s, ok := c.state[id]
-	return s, ok
+	return c.states.Get(id)
 }
 
-// put adds the final state of a job.
+// put adds the final state of a job, which never changes.
 func (c *stateCache) put(id sched.JobID, s sched.JobState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, ok := c.state[id]; ok {
-		return
-	}
-	delete(c.state, c.ring[c.next])
-	c.ring[c.next] = id
-	c.next = (c.next + 1) % len(c.ring)
-	c.state[id] = s
+	c.states.Put(id, s)
 }
--- a/pkg/sched/flow/estimates.go
+++ b/pkg/sched/flow/estimates.go
@@ -19,8 +19,6 @@
 	// saveEstimatesEvery is the shortest time between two records of the
 	// estimates.
 	saveEstimatesEvery = 2 * time.Second
-	// maxSavedPairs bounds the image pairs of one record.
-	maxSavedPairs = 4096
 )
 
 // estimateRecord is the state of the stored estimates.
@@ -39,8 +37,8 @@
 	LogOdds         float32 `cbor:"3,keyasint"`
 }
 
-// encode returns the stored form of the estimates. If there are too many pairs,
-// it keeps those that are most likely to interfere.
+// encode returns the stored form of the estimates, the pairs that are most likely to
+// interfere first.
 func (d *interference) encode() []byte {
 	all := make([]pairEstimate, 0, len(d.logOdds))
 	for k, l := range d.logOdds {
@@ -49,7 +47,7 @@
 	slices.SortFunc(all, func(a, b pairEstimate) int {
 		return cmp.Or(cmp.Compare(b.LogOdds, a.LogOdds), cmp.Compare(a.LatencyCritical, b.LatencyCritical), cmp.Compare(a.BestEffort, b.BestEffort))
 	})
-	b, err := cbor.Marshal(all[:min(len(all), maxSavedPairs)])
+	b, err := cbor.Marshal(all)
 	if err != nil {
 		panic(err) // This type always encodes.
 	}
@@ -62,6 +60,7 @@
 	if err := cbor.Unmarshal(b, &all); err != nil {
 		return err
 	}
+	all = all[:min(len(all), maxPairs)]
 	for _, x := range all {
 		k := imagePair{x.LatencyCritical, x.BestEffort}
 		d.logOdds[k], d.estimates[k] = float64(x.LogOdds), 1/(1+math.Exp(-float64(x.LogOdds)))
--- a/pkg/sched/flow/interference.go
+++ b/pkg/sched/flow/interference.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/mangoslip/mangoslip/internal/cache"
 )
 
 // interference estimates which best-effort images interfere with which
@@ -27,7 +29,7 @@
 	interferenceShares map[string]float64
 	bestEffort         []string
 	// differences caches the results of difference.
-	differences map[[2]string]float64
+	differences *cache.Cache[[2]string, float64]
 }
 
 // imagePair names a latency-critical image and a best-effort image.
@@ -63,13 +65,15 @@
 	// compatibleBelow they are known to be compatible.
 	incompatibleFrom = 0.6
 	compatibleBelow  = 0.15
+	// maxPairs bounds the pairs with estimates, because callers name the images.
+	maxPairs = 4096
 )
 
 func (d *interference) init() {
 	d.logOdds = map[imagePair]float64{}
 	d.estimates = map[imagePair]float64{}
 	d.interferenceShares = map[string]float64{}
-	d.differences = map[[2]string]float64{}
+	d.differences = cache.New[[2]string, float64](maxPairs)
 }
 
 // estimate returns the probability that two images interfere.
@@ -85,6 +89,9 @@
 	p = min(max(p, minEstimate), maxEstimate)
 	k := imagePair{critical, bestEffort}
 	old, known := d.logOdds[k]
+	if !known && !d.makeRoom(bestEffort) {
+		return
+	}
 	l := math.Log(p / (1 - p))
 	d.logOdds[k], d.estimates[k] = l, p
 	d.version++
@@ -93,10 +100,36 @@
 	}
 }
 
+// makeRoom removes the estimates of the best-effort images that became known first, other
+// than the given one, as long as there is no room for another pair. It reports whether
+// there is room then.
+func (d *interference) makeRoom(except string) bool {
+	for len(d.logOdds) >= maxPairs {
+		i := slices.IndexFunc(d.bestEffort, func(image string) bool { return image != except })
+		if i < 0 {
+			return false
+		}
+		d.forget(d.bestEffort[i])
+	}
+	return true
+}
+
+// forget removes the estimates of a best-effort image.
+func (d *interference) forget(bestEffort string) {
+	for k := range d.logOdds {
+		if k.bestEffort == bestEffort {
+			delete(d.logOdds, k)
+			delete(d.estimates, k)
+		}
+	}
+	delete(d.interferenceShares, bestEffort)
+	d.bestEffort = slices.DeleteFunc(d.bestEffort, func(image string) bool { return image == bestEffort })
+}
+
 // refreshCaches updates the caches after the estimates for a best-effort image
 // changed.
 func (d *interference) refreshCaches(bestEffort string, first bool) {
-	clear(d.differences)
+	d.differences.Clear()
 	incompatible, all := 0, 0
 	for k, l := range d.logOdds {
 		if k.bestEffort != bestEffort {
@@ -126,10 +159,10 @@
 // latency-critical images, from 0 to 1. It returns 0.5 if too little is known.
 func (d *interference) difference(a, b string) float64 {
 	k := [2]string{a, b}
-	v, ok := d.differences[k]
+	v, ok := d.differences.Get(k)
 	if !ok {
 		v = d.computeDifference(a, b)
-		d.differences[k] = v
+		d.differences.Put(k, v)
 	}
 	return v
 }
@@ -345,45 +378,3 @@
 	}
 	return worst, any
 }
-
-// risk returns the highest estimate for a best-effort image with the
-// latency-critical images on a worker.
-func (m *Machine) risk(w *worker, bestEffort string) float64 {
-	r := w.risksAt(m.interference.version)
-	worst, ok := r.of[bestEffort]
-	if !ok {
-		for _, image := range w.criticalImages() {
-			worst = max(worst, m.interference.estimate(image, bestEffort))
-		}
-		r.of[bestEffort] = worst
-	}
-	return worst
-}
-
-// riskCache caches the risks of a worker for one version of the estimates and
-// one set of latency-critical images, because a pass needs each of them many
-// times.
-type riskCache struct {
-	version uint64
-	of      map[string]float64
-	// maxCompatible is the highest interference share of the best-effort images
-	// that are compatible with the worker, negative if it is not computed yet.
-	maxCompatible float64
-}
-
-// risksAt returns the cache for a version of the estimates, emptied if it was
-// for another version.
-func (w *worker) risksAt(version uint64) *riskCache {
-	if w.riskCache.of == nil || w.riskCache.version != version {
-		w.resetRisks(version)
-	}
-	return &w.riskCache
-}
-
-func (w *worker) resetRisks(version uint64) {
-	if w.riskCache.of == nil {
-		w.riskCache.of = map[string]float64{}
-	}
-	clear(w.riskCache.of)
-	w.riskCache.version, w.riskCache.maxCompatible = version, -1
-}
--- a/pkg/sched/flow/runtime.go
+++ b/pkg/sched/flow/runtime.go
@@ -3,36 +3,47 @@
 import (
 	"time"
 
+	"github.com/mangoslip/mangoslip/internal/cache"
 	"github.com/mangoslip/mangoslip/pkg/sched"
 )
 
-// runtimeWeight is the weight of a new observation in the moving average.
-const runtimeWeight = 0.1
+const (
+	// runtimeWeight is the weight of a new observation in the moving average.
+	runtimeWeight = 0.1
+	// maxRuntimes bounds the averages, because callers name the images.
+	maxRuntimes = 4096
+)
 
 // runtimes holds the average duration of tasks by queue and image.
-type runtimes struct{ mean map[runtimeKey]time.Duration }
+type runtimes struct {
+	mean *cache.Cache[runtimeKey, time.Duration]
+}
 
 type runtimeKey struct {
 	queue sched.QueueName
 	image string
 }
 
-func (r *runtimes) init() { r.mean = map[runtimeKey]time.Duration{} }
+func (r *runtimes) init() { r.mean = cache.New[runtimeKey, time.Duration](maxRuntimes) }
+
+// of returns the average duration of the tasks of a step, and whether it is known.
+func (r *runtimes) of(s *step) (time.Duration, bool) {
+	return r.mean.Get(runtimeKey{s.occ.job.queue, s.spec.Image})
+}
 
 // add records the duration of a run that succeeded and did not resume from a
 // checkpoint.
 func (r *runtimes) add(s *step, took time.Duration) {
-	k := runtimeKey{s.occ.job.queue, s.spec.Image}
-	if old, ok := r.mean[k]; ok {
+	if old, ok := r.of(s); ok {
 		took = old + time.Duration(runtimeWeight*float64(took-old))
 	}
-	r.mean[k] = took
+	r.mean.Put(runtimeKey{s.occ.job.queue, s.spec.Image}, took)
 }
 
 // duration returns the expected duration of a task of a step: the mean of the
 // submitter's estimate and the observed average, or the one that is known.
 func (m *Machine) duration(s *step) time.Duration {
-	mean, ok := m.runtimes.mean[runtimeKey{s.occ.job.queue, s.spec.Image}]
+	mean, ok := m.runtimes.of(s)
 	switch {
 	case !ok:
 		return s.spec.Estimate
--- a/pkg/sched/flow/straggle.go
+++ b/pkg/sched/flow/straggle.go
@@ -128,7 +128,8 @@
 // longDuration returns the longer one of the submitter's estimate and the observed
 // average.
 func (m *Machine) longDuration(s *step) time.Duration {
-	return max(s.spec.Estimate, m.runtimes.mean[runtimeKey{s.occ.job.queue, s.spec.Image}])
+	mean, _ := m.runtimes.of(s)
+	return max(s.spec.Estimate, mean)
 }
 
 // speedPenalty returns the penalty of a slow worker for a task that ends by itself and is
--- a/pkg/sched/workflow.go
+++ b/pkg/sched/workflow.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"time"
@@ -86,6 +88,20 @@
 	Interval time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
+// maxImage is the length in bytes up to which the name of an image is kept as it is.
+const maxImage = 64
+
+// ImageName returns the name by which an image is known: the given one, or its SHA-256
+// digest if that is longer than 64 bytes. Names are only compared, and are kept for
+// longer than the jobs that use them.
+func ImageName(name string) string {
+	if len(name) <= maxImage {
+		return name
+	}
+	digest := sha256.Sum256([]byte(name))
+	return hex.EncodeToString(digest[:])
+}
+
 // MaxWorkflowTasks bounds the tasks of a job in all its occurrences, so that one
 // job cannot exhaust the memory of an entry. A step without tasks counts as one task.
 const MaxWorkflowTasks = 100_000
