Bound the memory that accepted jobs take in the leader

Crowds of legal jobs made the leader exceed the memory of its machine or answer nobody: jobs of 90 long labels, of 500 images, of 50,000 tasks, of 20,000 steps.

Cause: a job was accepted once it was in the store, whatever the leader kept already, and its tasks were kept for ten minutes after its end.

--- a/cmd/mangoslip/serve.go
+++ b/cmd/mangoslip/serve.go
@@ -131,7 +131,7 @@
 		Peer:    netip.AddrPortFrom(s.Address, s.PortLow),
 		Metrics: netip.AddrPortFrom(s.Address, uint16(c.metricsPort)),
 		Grace:   s.Grace, ReadyPath: front.ReadyPath, DispatchFrom: c.dispatchFrom,
-		Callers: c.intake.callers(s), Peers: intake.ForPeers(s.MaxFiles),
+		Callers: c.intake.callers(s), Peers: intake.ForPeers(s.MaxFiles), JobBound: c.intake.jobBound(s),
 	}, daemon.Platform{
 		Store: store, Orders: orders, Adviser: adviser, ConfigKey: fleet.ConfigKey,
 		Apply: func(value []byte) (*sched.FleetConfig, error) {
--- a/internal/crowd/legal_test.go
+++ b/internal/crowd/legal_test.go
@@ -51,6 +51,14 @@
 // crowds are the shapes of legal jobs that take much memory or processor time.
 var crowds = []legalCrowd{
 	{"LongImages", 40, 30, job(step + `,"image":"@id` + strings.Repeat("i", 200_000) + `"}`)},
+	{"LongAffinity", 40, 15, job(repeat(90, func(int) string {
+		return step + `,"affinity":"` + strings.Repeat("a", 2_700) + `"}`
+	})...)},
+	{"ManyImages", 20, 20, job(repeat(500, func(i int) string {
+		return fmt.Sprintf(`%s,"image":"@id-%d"}`, step, i)
+	})...)},
+	{"ManyTasks", 40, 5, job(strings.Replace(step, `"count":1`, `"count":50000`, 1) + `}`)},
+	{"SmallSteps", 40, 5, job(repeat(20_000, func(int) string { return `{"count":1}` })...)},
 	{"LongText", 300, 8, strings.Replace(ordinaryJob, `"x"`, `"`+strings.Repeat("x", 262_000)+`"`, 1)},
 	{"EmptySteps", 4, 4, strings.Replace(job(repeat(10_000, func(int) string { return "{}" })...),
 		`"spec"`, `"repeat-count":100000,"first-run-ms":1,"interval-ms":1,"spec"`, 1)},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"github.com/mangoslip/mangoslip/internal/leader"
 	"github.com/mangoslip/mangoslip/internal/logger"
 	"github.com/mangoslip/mangoslip/internal/orders"
+	"github.com/mangoslip/mangoslip/internal/quota"
 	"github.com/mangoslip/mangoslip/internal/relay"
 	"github.com/mangoslip/mangoslip/internal/stats"
 	"github.com/mangoslip/mangoslip/pkg/sched"
@@ -50,6 +51,9 @@
 	ReadyPath string
 	// Callers and Peers bound the clients of Front and Peer.
 	Callers, Peers intake.Limits
+	// JobBound bounds the memory that accepted jobs take while this entry leads; 0: there
+	// is no bound.
+	JobBound sched.Bytes
 }
 
 // Platform holds the parts of the platform that an entry uses, and how the entry
@@ -126,8 +130,11 @@
 	e.leader = leader.New(p.Leader, p.Store, p.Orders, leader.WithLogger(e.log), leader.WithStats(e.stats),
 		leader.WithAnnouncer(e.announce), leader.WithDispatchers(e.termOrders), leader.WithAdviser(newAdviserPool(e)),
 		leader.WithReachable(e.peerReachesStore), leader.WithAskPeers(e.askPeersForContact))
-	e.jobs = jobs.New(p.Store, e.leader, (*asker)(e), jobs.WithLogger(e.log), jobs.WithAdviser(p.Adviser),
-		jobs.WithLateSource(e.leader))
+	options := []jobs.Option{jobs.WithLogger(e.log), jobs.WithAdviser(p.Adviser), jobs.WithLateSource(e.leader)}
+	if s.JobBound > 0 {
+		options = append(options, jobs.WithQuota(e.leader, s.JobBound, quota.WithLogger(e.log), quota.WithStats(e.stats)))
+	}
+	e.jobs = jobs.New(p.Store, e.leader, (*asker)(e), options...)
 	return e
 }
 
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -295,6 +295,8 @@
 		e.stats.Gauge("DelayedJobs", int64(t.DelayedJobs))
 		e.stats.Gauge("ShortageCores", int64(t.ShortageCores))
 		e.stats.Gauge("LateJobs", int64(t.Late))
+		e.stats.Gauge("JobBytes", int64(t.Kept))
+		e.stats.Gauge("JobBytesBound", int64(e.jobs.PublishQuota()))
 		for _, g := range e.gates {
 			g.Publish()
 		}
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -91,6 +91,9 @@
 	checkBytes = 1 << 20
 )
 
+// ClientMemory returns how much of the memory of a machine is left to its clients.
+func ClientMemory(memory sched.Bytes) sched.Bytes { return max(memory-otherMemory, 0) }
+
 // ForCallers returns the limits of the callers' listener on a machine with the given
 // limits of memory and descriptors, or of the smallest machine where they are 0.
 // Reserve is the number of descriptors that callers cannot use; they may always use
@@ -101,7 +104,7 @@
 	}
 	l := Limits{Conns: max(maxFiles-reserve, maxFiles/3), Bytes: 2 * peerBytes}
 	if memory > 0 {
-		free := max(int64(memory)-otherMemory, 0)
+		free := int64(ClientMemory(memory))
 		l.Bytes = max(free/bodyShare, minBytes)
 		l.Conns = min(l.Conns, max(int(free/connMemory), minConns))
 	}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -93,6 +93,10 @@
 	adviser sched.Adviser
 	// unknownCancels limits the cancellations of jobs that are not in the store.
 	unknownCancels *rate.Limiter
+	// room bounds the memory of accepted jobs; nil if there is no bound. storedChecks
+	// limits the checks whether a refused job is in the store.
+	room         *room
+	storedChecks *rate.Limiter
 	// late lists the late jobs while this entry leads; nil if it never lists them.
 	late        LateSource
 	lateTimeout time.Duration
@@ -112,7 +116,7 @@
 	s := &Service{
 		store: store, leader: leader, peers: peers, log: slog.New(slog.DiscardHandler), now: time.Now,
 		ended: newStateCache(stateCacheSize), unknownCancels: rate.NewLimiter(unknownCancelsPerSecond, unknownCancelsBurst),
-		lateTimeout: lateTimeout,
+		storedChecks: rate.NewLimiter(storedChecksPerSecond, storedChecksBurst), lateTimeout: lateTimeout,
 	}
 	for _, o := range opts {
 		o(s)
@@ -131,6 +135,9 @@
 
 // Submit implements [sched.JobService].
 func (s *Service) Submit(ctx context.Context, w *sched.Workflow) error {
+	if stored, err := s.admit(ctx, w); stored || err != nil {
+		return err
+	}
 	value := layout.Encode(layout.Job{Workflow: w, Accepted: s.now().UnixMilli()})
 	return s.record(ctx, layout.JobKey(w.ID), value, relay.Question{Verb: relay.VerbSubmit, Job: w.ID, Workflow: w})
 }
--- a/internal/jobs/stored.go
+++ b/internal/jobs/stored.go
@@ -107,6 +107,8 @@
 		s.adviseFor(ctx, q, &a)
 	case relay.VerbLate:
 		s.answerLate(q, &a)
+	case relay.VerbRoom:
+		s.answerRoom(q, &a)
 	}
 	return a
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -281,6 +281,18 @@
 	return t.machine.Workers(), true
 }
 
+// Kept returns how much memory the accepted jobs take, and whether this entry leads and
+// knows it.
+func (l *Leader) Kept() (sched.KeptJobs, bool) {
+	t := l.loadedTerm()
+	if t == nil {
+		return sched.KeptJobs{}, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.machine.Kept(l.now())
+}
+
 // Totals returns the totals of the state machine, and whether this entry leads.
 func (l *Leader) Totals() (flow.Totals, bool) {
 	t := l.loadedTerm()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -49,6 +49,9 @@
 	// VerbLate asks the leader for the late jobs. An entry of an older build answers
 	// without them and without a reason.
 	VerbLate Verb = 7
+	// VerbRoom asks the leader for room for accepted jobs. An entry of an older build
+	// answers without room and without a reason.
+	VerbRoom Verb = 8
 )
 
 // Question is what one entry asks another.
@@ -62,6 +65,8 @@
 	Advice *sched.AdviceRequest `cbor:"6,keyasint,omitempty"`
 	// Limit bounds the late jobs of the answer.
 	Limit int `cbor:"7,keyasint,omitempty"`
+	// Cost is how much room the question asks for.
+	Cost sched.Bytes `cbor:"8,keyasint,omitempty"`
 }
 
 // Answer is the reply. Reason is empty on success.
@@ -83,6 +88,8 @@
 	StoreAnswered bool          `cbor:"10,keyasint,omitempty"`
 	// Late holds the late jobs, in answers to VerbLate.
 	Late *sched.LateJobs `cbor:"11,keyasint,omitempty"`
+	// Room is what the leader grants, in answers to VerbRoom.
+	Room sched.Bytes `cbor:"12,keyasint,omitempty"`
 }
 
 // Err returns the error of the answer, or nil on success.
--- a/pkg/sched/flow/accept.go
+++ b/pkg/sched/flow/accept.go
@@ -27,8 +27,10 @@
 	}
 	if j.state.Final() {
 		j.durable, j.finishedAt = j.state, m.now
+		m.release(j)
 		return
 	}
+	m.keep(j)
 	m.log("job added", "id", id, "queue", j.queue, "steps", len(j.spec.Steps),
 		"age", m.now.Sub(j.acceptedAt), "inherited", j.inherited, "version", j.version)
 	m.live = append(m.live, j)
--- a/pkg/sched/flow/finish.go
+++ b/pkg/sched/flow/finish.go
@@ -81,16 +81,3 @@
 		}
 	}
 }
-
-// dropEndedJobs removes jobs that ended longer ago than the retention time.
-func (m *Machine) dropEndedJobs() {
-	for id, j := range m.jobs {
-		if !j.durable.Final() || j.dirty || m.now.Sub(j.finishedAt) < m.retention {
-			continue
-		}
-		if j.hasRuns() {
-			continue
-		}
-		delete(m.jobs, id)
-	}
-}
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -69,6 +69,10 @@
 	cmds []sched.Cmd
 
 	jobs map[sched.JobID]*job
+	// kept is the memory that the jobs take, and releasedAt when ended jobs were last
+	// released.
+	kept       sched.KeptJobs
+	releasedAt time.Time
 	// live holds the jobs that have not ended, and repeating those of them that
 	// have occurrences left to open.
 	live      []*job
@@ -270,7 +274,7 @@
 	m.restartStragglers()
 	m.stopStalled()
 	m.consolidate()
-	m.dropEndedJobs()
+	m.maintainEndedJobs()
 	m.forgetCancels()
 	m.maintainRoster()
 	m.logRecovery()
--- a/pkg/sched/flow/job.go
+++ b/pkg/sched/flow/job.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -32,6 +33,10 @@
 	lateLogged bool
 	cause      string
 	finishedAt time.Time
+	// cost is the memory that the job takes. It is 0 once the job is released, which
+	// means that its tasks and its description are not kept any more.
+	cost     sched.Bytes
+	released bool
 
 	// dirty means that the job waits for a commit, and inFlight that it is part of
 	// one.
@@ -219,8 +224,17 @@
 }
 
 func (j *job) hasRuns() bool {
-	for _, t := range j.tasks() {
-		if len(t.runs) > 0 {
+	for _, o := range j.occurrences {
+		if o != nil && o.hasRuns() {
+			return true
+		}
+	}
+	return false
+}
+
+func (o *occurrence) hasRuns() bool {
+	for _, s := range o.steps {
+		if slices.ContainsFunc(s.tasks, func(t *task) bool { return len(t.runs) > 0 }) {
 			return true
 		}
 	}
--- a/pkg/sched/flow/queries.go
+++ b/pkg/sched/flow/queries.go
@@ -65,6 +65,8 @@
 	DelayedJobs, ShortageCores int
 	// Late counts the late jobs.
 	Late int
+	// Kept is how much memory the jobs take that are not released.
+	Kept sched.Bytes
 }
 
 // Totals returns the sums.
@@ -73,7 +75,7 @@
 		Jobs: len(m.jobs), Live: len(m.live), Workers: len(m.order),
 		Uncommitted: len(m.commits.changed), Recovering: m.recovery.active,
 		Unanswered: m.window.ordered, StartWindow: int(m.window.size),
-		SlowWorkers: m.speeds.SlowWorkers(), RunsMovedSlow: m.runsMovedSlow, Late: m.countLate(),
+		SlowWorkers: m.speeds.SlowWorkers(), RunsMovedSlow: m.runsMovedSlow, Late: m.countLate(), Kept: m.kept.Cost,
 	}
 	jobs, cores := m.delays.totals()
 	t.DelayedJobs, t.ShortageCores = jobs, int(math.Ceil(cores))
--- a/pkg/sched/workflow.go
+++ b/pkg/sched/workflow.go
@@ -169,6 +169,15 @@
 	return false
 }
 
+// KeptJobs tells how much memory accepted jobs take in the leader.
+type KeptJobs struct {
+	// Cost is what they take now.
+	Cost Bytes
+	// Added is the sum of what all jobs took that were delivered to the leader in its
+	// term and had not ended. It never decreases.
+	Added Bytes
+}
+
 // JobState is the state of a workflow that callers see.
 type JobState uint8
 
