Shorten the records of ended jobs while a leader loads them

After a crowd of large jobs, also of jobs that ended long ago, each new leader held all their records at once: 210 MB of 72 with 500 ended jobs of 200,000 bytes. The machine ends such a process, and the next leader loads as much.

Cause: a list of the store was read whole before anything of it was used. Range now lets its caller filter each page, in place of only counting the pages, and the leader keeps of a job that has ended by its progress only the id and the queue.

--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -32,12 +32,12 @@
 	takeover := t.takeover(stored[1:4])
 	// The work comes last, so that cancellations are not older than necessary when
 	// tasks are started. No earlier leader can change the progress any more.
-	work, err := t.rangeWithRetry(layout.WorkPrefix)
+	progress := storedProgress.byKey()
+	work, err := t.rangeWithRetry(layout.WorkPrefix, shortenEnded(progress))
 	if err != nil {
 		return 0, err
 	}
 	read := t.l.now()
-	progress := storedProgress.byKey()
 	t.post(flow.ConfirmedMsg{Asked: t.contact.confirmed(time.Time{})})
 	t.l.mu.Lock()
 	fleet := t.l.fleet
@@ -96,7 +96,7 @@
 	var wg sync.WaitGroup
 	for i, p := range prefixes {
 		wg.Go(func() {
-			t.guarded("load state", func() { out[i], errs[i] = t.rangeWithRetry(p) })
+			t.guarded("load state", func() { out[i], errs[i] = t.rangeWithRetry(p, wholePage) })
 		})
 	}
 	wg.Wait()
@@ -104,11 +104,11 @@
 }
 
 // rangeWithRetry reads the items under a prefix, and retries until this succeeds
-// or the term ends.
-func (t *term) rangeWithRetry(prefix string) (reading, error) {
+// or the term ends. It keeps what filter returns of each page.
+func (t *term) rangeWithRetry(prefix string, filter pageFilter) (reading, error) {
 	began := t.l.now()
 	for {
-		r, err := t.read(prefix)
+		r, err := t.readFiltered(prefix, filter)
 		if err == nil {
 			t.l.log.Info("state read", "term", t.number, "prefix", prefix, "items", len(r.items), "took", t.l.now().Sub(began))
 			return r, nil
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -93,12 +93,13 @@
 // jobs that ended long ago, and without their progress it would run them again.
 func (t *term) reread() (work reading, progress map[string]sched.Item, err error) {
 	stored, err := t.read(layout.Root + flow.KeyProgress)
+	progress = stored.byKey()
 	if err == nil {
-		work, err = t.read(layout.WorkPrefix)
+		work, err = t.readFiltered(layout.WorkPrefix, shortenEnded(progress))
 	}
 	t.l.log.Info("watch history was compacted; jobs are read again", "items", len(work.items),
 		"progress", len(stored.items), "version", work.version, "error", err)
-	return work, stored.byKey(), err
+	return work, progress, err
 }
 
 // postWork handles a change under the work prefix. progress holds the stored
--- a/internal/leader/reading.go
+++ b/internal/leader/reading.go
@@ -14,10 +14,22 @@
 	asked   time.Time
 }
 
+// pageFilter returns what is kept of a page of items.
+type pageFilter func(page []sched.Item) []sched.Item
+
+// wholePage keeps a page as it is.
+func wholePage(page []sched.Item) []sched.Item { return page }
+
 // read reads the items under a prefix.
-func (t *term) read(prefix string) (reading, error) {
+func (t *term) read(prefix string) (reading, error) { return t.readFiltered(prefix, wholePage) }
+
+// readFiltered reads the items under a prefix, and keeps what filter returns of each page.
+func (t *term) readFiltered(prefix string, filter pageFilter) (reading, error) {
 	asked := t.l.now()
-	ctx := sched.WithPageNote(t.ctx, func() { t.contact.pageRead(t.l.now()) })
+	ctx := sched.WithPageFilter(t.ctx, func(page []sched.Item) []sched.Item {
+		t.contact.pageRead(t.l.now())
+		return filter(page)
+	})
 	items, version, err := t.l.store.Range(ctx, prefix, false)
 	return reading{items, version, asked}, err
 }
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -208,9 +208,9 @@
 	// A delayed answer stands for a list with many pages.
 	for ; delay > 0; delay -= pageDelay {
 		time.Sleep(min(delay, pageDelay))
-		sched.NotePage(ctx)
+		sched.FilterPage(ctx, nil)
 	}
-	return out, at, nil
+	return sched.FilterPage(ctx, out), at, nil
 }
 
 // Watch implements [sched.MetadataStore].
--- a/pkg/sched/metadata.go
+++ b/pkg/sched/metadata.go
@@ -80,7 +80,7 @@
 	// Range returns the items under a prefix and a store version to watch from.
 	// Unless stale is set, the items include all changes up to that version;
 	// they may include later ones. A stale read is cheaper and may be seconds
-	// old. Range calls [NotePage] for each part of a long list.
+	// old. Range calls [FilterPage] for each part of a long list.
 	Range(ctx context.Context, prefix string, stale bool) ([]Item, Version, error)
 	// Watch waits for changes under a prefix after a version and returns them
 	// with the version to continue from.
--- a/pkg/sched/pages.go
+++ b/pkg/sched/pages.go
@@ -2,18 +2,22 @@
 
 import "context"
 
-// pageNoteKey is the key of the function that [WithPageNote] adds to a context.
-type pageNoteKey struct{}
+// pageFilterKey is the key of the function that [WithPageFilter] adds to a context.
+type pageFilterKey struct{}
 
-// WithPageNote returns a context with which [MetadataStore.Range] calls note for each
-// page that has arrived. It tells a long list from a store that does not answer.
-func WithPageNote(ctx context.Context, note func()) context.Context {
-	return context.WithValue(ctx, pageNoteKey{}, note)
+// WithPageFilter returns a context with which [MetadataStore.Range] calls filter for each
+// page that has arrived, and returns what filter returns in place of the page. A caller
+// that needs a part of a long list only so never holds all of it. The calls also tell a
+// long list from a store that does not answer.
+func WithPageFilter(ctx context.Context, filter func(page []Item) []Item) context.Context {
+	return context.WithValue(ctx, pageFilterKey{}, filter)
 }
 
-// NotePage calls the function that [WithPageNote] added to the context, if any.
-func NotePage(ctx context.Context) {
-	if note, ok := ctx.Value(pageNoteKey{}).(func()); ok {
-		note()
+// FilterPage calls the function that [WithPageFilter] added to the context, if any, and
+// returns the items to keep.
+func FilterPage(ctx context.Context, page []Item) []Item {
+	if filter, ok := ctx.Value(pageFilterKey{}).(func([]Item) []Item); ok {
+		return filter(page)
 	}
+	return page
 }
