Search for the workers of a gang once a worker, not once a member

Callers got no answer within 30 s after one legal job, a gang of 10,000 small tasks on 40 workers, and the leases of other tasks lapsed: the leader searched for workers with the state machine locked.

Cause: each member rated all workers, and each rating looked at all members for the workers that they avoid. Now the workers are rated once, a worker that took a member is rated again, and the avoided workers are collected once; a gang for which there are not enough slots is given up before. A gang that breaks stops its runs once, where each stop went through all members again.

--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -136,7 +136,7 @@
 		{"StoreDown", []string{largeChunks, shortLength, wholeJob}, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			e, s := startEntry(t, firstPort+10*i, settings)
+			e, s := startEntry(t, firstPort+10*i, fewWorkers, settings)
 			rest := e.peakMemory()
 			var clients crowd
 			defer clients.close()
--- a/internal/crowd/ended_test.go
+++ b/internal/crowd/ended_test.go
@@ -32,7 +32,7 @@
 // Guards against large jobs that ended long ago and whose records make each new leader
 // exceed the memory of its machine while it loads them.
 func TestEndedJobs(t *testing.T) {
-	e, s := startEntry(t, endedPort, settings)
+	e, s := startEntry(t, endedPort, fewWorkers, settings)
 	e.requireStops()
 	for i := range endedJobs {
 		storeEnded(s, sched.JobID(fmt.Sprintf("%016x", 0xe0000+i)))
--- a/internal/crowd/legal_test.go
+++ b/internal/crowd/legal_test.go
@@ -19,7 +19,8 @@
 )
 
 const (
-	legalPort = firstPort + 100
+	legalPort   = firstPort + 100
+	manyWorkers = 40
 	// legalLimit bounds how long a client sends jobs.
 	legalLimit = 20 * time.Second
 	// step is a step of an ordinary job, without its end.
@@ -44,33 +45,38 @@
 // own, again and again. The text @id in the body stands for the id of the job.
 type legalCrowd struct {
 	name          string
+	workers       int
 	clients, jobs int
 	body          string
 }
 
 // crowds are the shapes of legal jobs that take much memory or processor time.
 var crowds = []legalCrowd{
-	{"LongImages", 40, 30, job(step + `,"image":"@id` + strings.Repeat("i", 200_000) + `"}`)},
-	{"LongAffinity", 40, 15, job(repeat(90, func(int) string {
+	{"LongImages", fewWorkers, 40, 30, job(step + `,"image":"@id` + strings.Repeat("i", 200_000) + `"}`)},
+	{"LongAffinity", fewWorkers, 40, 15, job(repeat(90, func(int) string {
 		return step + `,"affinity":"` + strings.Repeat("a", 2_700) + `"}`
 	})...)},
-	{"ManyImages", 20, 20, job(repeat(500, func(i int) string {
+	{"ManyImages", fewWorkers, 20, 20, job(repeat(500, func(i int) string {
 		return fmt.Sprintf(`%s,"image":"@id-%d"}`, step, i)
 	})...)},
-	{"ManyTasks", 40, 5, job(strings.Replace(step, `"count":1`, `"count":50000`, 1) + `}`)},
-	{"SmallSteps", 40, 5, job(repeat(20_000, func(int) string { return `{"count":1}` })...)},
-	{"LongText", 300, 8, strings.Replace(ordinaryJob, `"x"`, `"`+strings.Repeat("x", 262_000)+`"`, 1)},
-	{"EmptySteps", 4, 4, strings.Replace(job(repeat(10_000, func(int) string { return "{}" })...),
+	{"ManyTasks", fewWorkers, 40, 5, job(strings.Replace(step, `"count":1`, `"count":50000`, 1) + `}`)},
+	{"SmallSteps", fewWorkers, 40, 5, job(repeat(20_000, func(int) string { return `{"count":1}` })...)},
+	{"LongText", fewWorkers, 300, 8, strings.Replace(ordinaryJob, `"x"`, `"`+strings.Repeat("x", 262_000)+`"`, 1)},
+	{"EmptySteps", fewWorkers, 4, 4, strings.Replace(job(repeat(10_000, func(int) string { return "{}" })...),
 		`"spec"`, `"repeat-count":100000,"first-run-ms":1,"interval-ms":1,"spec"`, 1)},
-	{"IndependentSteps", 1, 1, job(repeat(5_000, func(int) string { return step + `}` })...)},
-	{"ChainedSteps", 1, 1, job(repeat(3_000, func(i int) string {
+	{"IndependentSteps", fewWorkers, 1, 1, job(repeat(5_000, func(int) string { return step + `}` })...)},
+	{"ChainedSteps", fewWorkers, 1, 1, job(repeat(3_000, func(i int) string {
 		return strings.Replace(fmt.Sprintf(`%s,"after":[%d]}`, step, i-1), `,"after":[-1]`, "", 1)
 	})...)},
-	{"DenseSteps", 1, 1, job(repeat(300, func(i int) string {
+	{"DenseSteps", fewWorkers, 1, 1, job(repeat(300, func(i int) string {
 		after := strings.Join(repeat(i, func(k int) string { return fmt.Sprint(k) }), ",")
 		return step + `,"after":[` + after + `]}`
 	})...)},
-	{"Spread", 20, 10, job(repeat(200, func(i int) string {
+	{"WideGang", fewWorkers, 1, 1, job(strings.Replace(step, `"count":1`, `"count":10000`, 1) + `,"gang":true}`)},
+	{"ManyGangs", fewWorkers, 20, 10, job(repeat(10, func(int) string {
+		return strings.Replace(step, `"count":1`, `"count":250`, 1) + `,"gang":true}`
+	})...)},
+	{"Spread", fewWorkers, 20, 10, job(repeat(200, func(i int) string {
 		return fmt.Sprintf(`%s,"image":"i%d","requires":"kind=%d","anti-affinity":1}`, step, i, i)
 	})...)},
 }
@@ -82,13 +88,18 @@
 func (c *legalCrowd) submit(t *testing.T, em *emul.Emulator) {
 	var in struct {
 		Steps []struct {
-			Count int `json:"count"`
+			Count  int   `json:"count"`
+			CPU    int64 `json:"cpu"`
+			Memory int64 `json:"mem-mb"`
+			Gang   bool  `json:"gang"`
 		} `json:"steps"`
 	}
 	require.NoError(t, json.Unmarshal([]byte(c.body), &in))
 	var steps []sched.StepSpec
 	for _, s := range in.Steps {
-		steps = append(steps, sched.StepSpec{Count: s.Count, Resources: sched.Resources{CPU: 100, Memory: 64 << 20}})
+		steps = append(steps, sched.StepSpec{
+			Count: s.Count, Gang: s.Gang, Resources: sched.Resources{CPU: sched.MilliCPU(s.CPU), Memory: sched.Bytes(s.Memory) << 20},
+		})
 	}
 	for i := range c.clients * c.jobs {
 		em.Submit(&sched.Workflow{ID: clientID(i), Queue: stand.Queue, Steps: steps}, emul.Work{Duration: 100 * time.Millisecond})
@@ -141,7 +152,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			require.LessOrEqual(t, len(strings.ReplaceAll(c.body, "@id", string(laterID))), maxBody)
 			port := legalPort + 10*i
-			e, s := startEntry(t, port, settings)
+			e, s := startEntry(t, port, c.workers, settings)
 			s.With(func(em *emul.Emulator) {
 				c.submit(t, em)
 				submitJob(em, takeoverID)
--- a/internal/crowd/proc_test.go
+++ b/internal/crowd/proc_test.go
@@ -26,6 +26,8 @@
 	host, prefix = "queue.example", "/q/"
 	// firstID and laterID are the ids of the ordinary jobs.
 	firstID, laterID sched.JobID = "00000000000000a0", "00000000000000a1"
+	// fewWorkers is the number of workers where it does not matter.
+	fewWorkers = 2
 	// waitLimit bounds waits for the process. It only keeps a failed test short.
 	waitLimit = 30 * time.Second
 )
@@ -54,9 +56,9 @@
 
 // startEntry starts an entry on the given port and the three after it, and waits
 // until it accepts a job. The settings are added to those of the stand-in.
-func startEntry(t *testing.T, port int, settings string) (*entry, *stand.Platform) {
+func startEntry(t *testing.T, port, workers int, settings string) (*entry, *stand.Platform) {
 	t.Helper()
-	s, err := stand.New(1, 2)
+	s, err := stand.New(1, workers)
 	require.NoError(t, err)
 	t.Cleanup(s.Close)
 	s.Configure(1, host, prefix)
--- a/pkg/sched/flow/gang.go
+++ b/pkg/sched/flow/gang.go
@@ -18,8 +18,7 @@
 	// later in a pass wait during it.
 	gangReserveAfter = 700 * time.Millisecond
 	gangReserveFor   = 2 * time.Second
-	// gangSearchInterval is the pause between two searches for one gang. Each
-	// search rates all workers for each of its tasks.
+	// gangSearchInterval is the pause between two searches for one gang.
 	gangSearchInterval = 60 * time.Millisecond
 )
 
@@ -39,6 +38,10 @@
 // breakGang stops the remaining runs of a gang after the run with the given
 // number ended. Runs of a later start of the gang continue.
 func (m *Machine) breakGang(s *step, number uint64) {
+	if number <= s.broken {
+		return
+	}
+	s.broken = number // Each stop below breaks the gang again.
 	for _, t := range s.tasks {
 		for _, r := range t.runs {
 			if r.number <= number {
@@ -165,18 +168,15 @@
 		if !m.usable(w) || w.member.Service != q.Service {
 			continue
 		}
-		n := 0
-		for r := s.spec.Need(); r.Fits(w.member.Capacity) && n < s.spec.Count; r = r.Add(s.spec.Need()) {
-			n++
-		}
+		most := s.spec.Count
 		if s.spec.AntiAffinity > 0 {
-			n = min(n, s.spec.AntiAffinity)
+			most = min(most, s.spec.AntiAffinity)
 		}
 		rack := ""
 		if s.spec.SameRack {
 			rack = w.member.Rack()
 		}
-		slots[rack] += n
+		slots[rack] += w.member.Capacity.Slots(s.spec.Need(), most)
 	}
 	for _, n := range slots {
 		if n >= s.spec.Count {
@@ -186,55 +186,6 @@
 	return false
 }
 
-// fitGang chooses workers for a gang within a rack, or on any rack if rack is
-// empty. It returns nil if the gang does not fit.
-func (m *Machine) fitGang(s *step, q sched.Queue, rack string) []*worker {
-	chosen := make([]*worker, len(s.tasks))
-	taken := map[*worker]sched.Resources{}
-	count := map[*worker]int{}
-	need := s.spec.Need()
-	for i, t := range s.tasks {
-		if t.phase != phaseQueued {
-			continue
-		}
-		var best *worker
-		var bestRate float64
-		for _, w := range m.order {
-			if rack != "" && w.member.Rack() != rack || !m.permitted(t, w, q) {
-				continue
-			}
-			if s.spec.AntiAffinity > 0 && t.step.placedOn[w]+count[w] >= s.spec.AntiAffinity {
-				continue
-			}
-			free := w.freeFor(s).Sub(taken[w])
-			if !need.Fits(free) {
-				continue
-			}
-			rate := float64(free.CPU)/max(float64(w.member.Capacity.CPU), 1) - m.gangPenalty(s, w)
-			if best == nil || rate > bestRate {
-				best, bestRate = w, rate
-			}
-		}
-		if best == nil {
-			return nil
-		}
-		chosen[i] = best
-		taken[best] = taken[best].Add(need)
-		count[best]++
-	}
-	return chosen
-}
-
-// gangPenalty returns the highest failure penalty of a worker for any member,
-// because a failure of one member fails the whole gang.
-func (m *Machine) gangPenalty(s *step, w *worker) float64 {
-	worst := 0.0
-	for _, t := range s.tasks {
-		worst = max(worst, m.failurePenalty(t, w))
-	}
-	return worst
-}
-
 // racks returns the racks of the usable workers, those with the most free
 // processors first.
 func (m *Machine) racks() []string {
--- a/pkg/sched/flow/job.go
+++ b/pkg/sched/flow/job.go
@@ -86,6 +86,8 @@
 	fitsTwo fitsTwoCache
 	// searchedAt is when workers for a gang were last searched for.
 	searchedAt time.Time
+	// broken is the number up to which all runs of a gang were stopped.
+	broken uint64
 	// blocked is the last reason why tasks of the step could not be placed, empty
 	// once one was.
 	blocked string
--- a/pkg/sched/flow/quarantine.go
+++ b/pkg/sched/flow/quarantine.go
@@ -41,10 +41,16 @@
 // failurePenalty returns the penalty of a worker for a task because of earlier
 // failures.
 func (m *Machine) failurePenalty(t *task, w *worker) float64 {
-	p := 0.0
+	p := m.workerPenalty(w)
 	if t.avoids(w.name()) {
 		p += avoidedPenalty
 	}
+	return p
+}
+
+// workerPenalty returns the part of the failure penalty that is the same for all tasks.
+func (m *Machine) workerPenalty(w *worker) float64 {
+	p := 0.0
 	if m.now.Before(w.quarantine.until) {
 		p += quarantinePenalty
 	}
--- a/pkg/sched/flow/run.go
+++ b/pkg/sched/flow/run.go
@@ -99,6 +99,9 @@
 
 // attach adds a run to its task and its worker.
 func (m *Machine) attach(r *run) {
+	if s := r.task.step; r.number <= s.broken {
+		s.broken = 0 // This run was not stopped with the others.
+	}
 	t, w := r.task, r.worker
 	t.runs = append(t.runs, r)
 	w.runs[r.id()] = r
--- a/pkg/sched/resource.go
+++ b/pkg/sched/resource.go
@@ -52,6 +52,23 @@
 // Negative reports whether any dimension is below zero.
 func (r Resources) Negative() bool { return r.CPU < 0 || r.Memory < 0 || r.Accelerators < 0 }
 
+// Slots returns how many times need fits into r, at most the given number.
+func (r Resources) Slots(need Resources, most int) int {
+	if !need.Fits(r) {
+		return 0
+	}
+	if need.CPU > 0 {
+		most = min(most, int(r.CPU/need.CPU))
+	}
+	if need.Memory > 0 {
+		most = min(most, int(r.Memory/need.Memory))
+	}
+	if need.Accelerators > 0 {
+		most = min(most, r.Accelerators/need.Accelerators)
+	}
+	return most
+}
+
 // String returns the key=value form used in logs.
 func (r Resources) String() string {
 	return fmt.Sprintf("cpu=%dm memory=%d accelerators=%d", r.CPU, r.Memory, r.Accelerators)
