Keep no goroutine for an order that waits to be sent

Cause: each start, stop and throttle order had a goroutine from its decision on, which waited for a free slot. The orders now wait in a queue, and as many goroutines send them as there were slots, in the order in which they were decided.

--- a/internal/crowd/legal_test.go
+++ b/internal/crowd/legal_test.go
@@ -73,6 +73,7 @@
 		return step + `,"after":[` + after + `]}`
 	})...)},
 	{"WideGang", fewWorkers, 1, 1, job(strings.Replace(step, `"count":1`, `"count":10000`, 1) + `,"gang":true}`)},
+	{"TinyGang", manyWorkers, 1, 1, job(`{"count":10000,"cpu":1,"mem-mb":1,"estimate-ms":100,"gang":true}`)},
 	{"ManyGangs", fewWorkers, 20, 10, job(repeat(10, func(int) string {
 		return strings.Replace(step, `"count":1`, `"count":250`, 1) + `,"gang":true}`
 	})...)},
--- a/internal/leader/send.go
+++ b/internal/leader/send.go
@@ -9,18 +9,6 @@
 	"github.com/mangoslip/mangoslip/pkg/sched/flow"
 )
 
-// withOrderSlot calls send when a slot for an order is free. More orders at once
-// would compete for the little processor time of an entry until all of them
-// miss their timeouts.
-func (t *term) withOrderSlot(send func()) {
-	select {
-	case t.orderSlots <- struct{}{}:
-		defer func() { <-t.orderSlots }()
-		send()
-	case <-t.ctx.Done():
-	}
-}
-
 func (t *term) start(cmd flow.StartCmd) {
 	if !t.wanted(cmd) {
 		t.post(flow.StartResultMsg{
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -29,9 +29,9 @@
 	lease chan sched.LeaseID
 
 	orders sched.Orders
-	// orderSlots limits the orders in flight. Renewals of workers' leases do not
-	// take a slot.
-	orderSlots chan struct{}
+	// queue holds the orders that wait to be sent. Renewals of workers' leases do not
+	// wait.
+	queue orderQueue
 	// timeouts determines the timeouts of the orders.
 	timeouts answerTimeout
 	contact  contact
@@ -69,14 +69,14 @@
 	x := &term{
 		l: l, number: t.Number, version: version, lease: make(chan sched.LeaseID, 1), started: l.now(),
 		contact: contact{confirmedAt: l.now()}, loggedInvalid: map[string]bool{},
-		orderSlots: make(chan struct{}, maxDirectOrders), skipped: map[sched.JobID]bool{}, handedOver: make(chan struct{}),
+		skipped: map[sched.JobID]bool{}, handedOver: make(chan struct{}),
 	}
 	x.lease <- lease
 	x.ctx, x.cancel = context.WithCancelCause(ctx)
-	x.orders = l.orders
+	x.orders, x.queue = l.orders, orderQueue{ctx: x.ctx, limit: maxDirectOrders, guard: x.guarded}
 	if l.newDispatcher != nil {
 		x.orders = l.newDispatcher(x.ctx, t.Number)
-		x.orderSlots = make(chan struct{}, maxDispatchedOrders)
+		x.queue.limit = maxDispatchedOrders
 	}
 	wall := flow.WithWallClock(func(time.Time) int64 { return time.Now().UnixMilli() })
 	x.machine = flow.New(t.Number, append([]flow.Option{wall, flow.WithStopwatch(time.Now)}, l.MachineOptions...)...)
@@ -182,13 +182,13 @@
 		t.l.log.Log(t.ctx, slog.LevelInfo, cmd.Event, cmd.Attrs...)
 	case flow.StartCmd:
 		t.l.stats.Count("Starts", 1)
-		t.effect("start", func() { t.withOrderSlot(func() { t.start(cmd) }) })
+		t.queue.add("start", func() { t.start(cmd) })
 	case flow.StopCmd:
 		t.l.stats.Count("Stops", 1)
-		t.effect("stop", func() { t.withOrderSlot(func() { t.stop(cmd) }) })
+		t.queue.add("stop", func() { t.stop(cmd) })
 	case flow.ThrottleCmd:
 		t.l.stats.Count("Paces", 1)
-		t.effect("throttle", func() { t.withOrderSlot(func() { t.throttle(cmd) }) })
+		t.queue.add("throttle", func() { t.throttle(cmd) })
 	case flow.RenewCmd:
 		t.l.stats.Count("Holds", 1)
 		t.effect("renew worker lease", func() { t.renewWorkerLease(cmd) })
