Bound the runs that a leader follows

Jobs of thousands of tasks that need nothing of a worker all run at once, as many as the leader can start.

Cause: only the capacity of the workers bounded the runs, and such tasks take none. The leader now follows as many runs as an eighth of the memory for clients has room for, and large jobs leave a quarter of them to others.

--- a/cmd/mangoslip/serve.go
+++ b/cmd/mangoslip/serve.go
@@ -22,6 +22,7 @@
 	"github.com/mangoslip/mangoslip/internal/intake"
 	"github.com/mangoslip/mangoslip/internal/leader"
 	"github.com/mangoslip/mangoslip/internal/logger"
+	"github.com/mangoslip/mangoslip/internal/quota"
 	"github.com/mangoslip/mangoslip/internal/stats"
 	"github.com/mangoslip/mangoslip/pkg/sched"
 	"github.com/mangoslip/mangoslip/pkg/sched/flow"
@@ -166,7 +167,7 @@
 		MachineOptions: []flow.Option{
 			flow.WithLease(c.lease, s.MaxLease), flow.WithStopTime(s.StopTime), flow.WithMaxMiss(s.MaxTargetMiss, s.ThrottleTime),
 			flow.WithRemoteFactor(s.RemoteDataFactor), flow.WithResumeTime(s.ResumeTime), flow.WithCancelTime(s.CancelTime),
-			flow.WithDrainTime(s.DrainTime),
+			flow.WithDrainTime(s.DrainTime), flow.WithMaxRuns(quota.MaxRuns(s.Memory)),
 		},
 	}
 	if s.EvacuateTime > 0 {
--- a/internal/crowd/legal_test.go
+++ b/internal/crowd/legal_test.go
@@ -73,7 +73,10 @@
 		return step + `,"after":[` + after + `]}`
 	})...)},
 	{"WideGang", fewWorkers, 1, 1, job(strings.Replace(step, `"count":1`, `"count":10000`, 1) + `,"gang":true}`)},
+	{"NoNeeds", fewWorkers, 40, 5, job(`{"count":5000,"estimate-ms":100}`)},
+	{"PerpetualNoNeeds", fewWorkers, 40, 5, job(`{"count":5000,"estimate-ms":100,"perpetual":true}`)},
 	{"TinyGang", manyWorkers, 1, 1, job(`{"count":10000,"cpu":1,"mem-mb":1,"estimate-ms":100,"gang":true}`)},
+	{"StartedGang", manyWorkers, 1, 1, job(`{"count":3000,"cpu":1,"mem-mb":1,"estimate-ms":100,"gang":true}`)},
 	{"ManyGangs", fewWorkers, 20, 10, job(repeat(10, func(int) string {
 		return strings.Replace(step, `"count":1`, `"count":250`, 1) + `,"gang":true}`
 	})...)},
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -6,6 +6,7 @@
 
 	"github.com/mangoslip/mangoslip/internal/clock"
 	"github.com/mangoslip/mangoslip/pkg/sched"
+	"github.com/mangoslip/mangoslip/pkg/sched/flow"
 )
 
 // Ledger is the record of what the leader has granted lately. It is kept in the memory of
@@ -34,8 +35,8 @@
 // each of the given number of entries. With 0 entries it grants the cost only.
 func (l *Ledger) Grant(kept sched.KeptJobs, cost sched.Bytes, entries int) (sched.Bytes, Verdict) {
 	limit := l.bound
-	if cost > smallCost {
-		limit -= l.bound / smallShare
+	if cost > flow.LargeCost {
+		limit -= l.bound / flow.LargeShare
 	}
 	if cost > limit {
 		return 0, TooLarge
@@ -49,7 +50,7 @@
 		return 0, Full
 	}
 	granted := cost
-	if entries > 0 && cost <= smallCost {
+	if entries > 0 && cost <= flow.LargeCost {
 		granted = max(cost, free/sched.Bytes(chunkShare*entries))
 	}
 	l.recent += granted
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -56,10 +56,6 @@
 	minBound    = 8 << 20
 	// defaultBound applies if the memory of the machine is not known.
 	defaultBound = 128 << 20
-	// smallCost is the cost up to which a job may use the whole bound. Larger jobs leave
-	// the share 1/smallShare of it to small ones.
-	smallCost  = 64 << 10
-	smallShare = 4
 	// chunkShare is how many grants for each entry the free room has to suffice for.
 	chunkShare = 8
 	// grantTime is how long an entry may use a grant. The leader counts a grant for at
@@ -71,6 +67,24 @@
 	refusalTime = 250 * time.Millisecond
 )
 
+const (
+	// runShare is the part of the memory that is left to clients for the runs that the
+	// leader follows, and runCost what one takes.
+	runShare = 8
+	runCost  = 1 << 10
+	// defaultRuns applies if the memory of the machine is not known.
+	defaultRuns = 1 << 17
+)
+
+// MaxRuns returns the bound on the runs that a leader follows on a machine with the given
+// memory, 0 if that is not known.
+func MaxRuns(memory sched.Bytes) int {
+	if memory <= 0 {
+		return defaultRuns
+	}
+	return int(max(intake.ClientMemory(memory), minBound) / runShare / runCost)
+}
+
 // Bound returns the bound on what accepted jobs take on a machine with the given memory,
 // 0 if that is not known.
 func Bound(memory sched.Bytes) sched.Bytes {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/mangoslip/mangoslip/pkg/sched"
+	"github.com/mangoslip/mangoslip/pkg/sched/flow"
 )
 
 const (
@@ -36,7 +37,7 @@
 	for name, f := range map[string]func(*testing.T, *Ledger){
 		"LargeJobsLeaveRoom": func(t *testing.T, l *Ledger) {
 			requireGrants(t, l, sched.KeptJobs{}, largeJob, 6)
-			requireGrants(t, l, sched.KeptJobs{}, smallCost, 32)
+			requireGrants(t, l, sched.KeptJobs{}, flow.LargeCost, 32)
 		},
 		"KeptJobsCount": func(t *testing.T, l *Ledger) {
 			requireGrants(t, l, sched.KeptJobs{Cost: 4 * mib}, largeJob, 2)
@@ -145,4 +146,7 @@
 	require.Equal(t, sched.Bytes(defaultBound), Bound(0))
 	require.Equal(t, sched.Bytes(minBound), Bound(64*mib))
 	require.Equal(t, 55*mib, Bound(284*mib))
+	require.Equal(t, 1<<17, MaxRuns(0))
+	require.Equal(t, 1024, MaxRuns(64*mib))
+	require.Equal(t, 28_160, MaxRuns(284*mib))
 }
--- a/pkg/sched/flow/cost.go
+++ b/pkg/sched/flow/cost.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"math"
 	"time"
 
 	"github.com/mangoslip/mangoslip/pkg/sched"
@@ -17,6 +18,13 @@
 	dependencyCost = 40
 )
 
+// A job is large if it costs more than LargeCost. Large jobs leave the share 1/LargeShare
+// of what is bounded to the others.
+const (
+	LargeCost  = 64 << 10
+	LargeShare = 4
+)
+
 const (
 	// releaseAfter is how long after its end the tasks of a job are kept. Workers may
 	// carry out orders seconds late; a run that is reported after the release counts as
@@ -52,6 +60,23 @@
 	return m.kept, m.loaded && m.Confirmed(now) && now.Sub(m.workReadAt) <= maxKeptAge
 }
 
+// freeRuns returns how many more runs there may be.
+func (m *Machine) freeRuns() int {
+	if m.maxRuns == 0 {
+		return math.MaxInt
+	}
+	return max(m.maxRuns-m.runs, 0)
+}
+
+// freeRunsFor returns how many more runs of a job there may be.
+func (m *Machine) freeRunsFor(j *job) int {
+	free := m.freeRuns()
+	if m.maxRuns > 0 && j.cost > LargeCost {
+		free -= m.maxRuns / LargeShare
+	}
+	return max(free, 0)
+}
+
 // keep counts what a job takes.
 func (m *Machine) keep(j *job) {
 	j.cost = Cost(j.spec)
--- a/pkg/sched/flow/flow.go
+++ b/pkg/sched/flow/flow.go
@@ -73,6 +73,8 @@
 	// released.
 	kept       sched.KeptJobs
 	releasedAt time.Time
+	// runs counts the runs that have not ended, on all workers.
+	runs int
 	// live holds the jobs that have not ended, and repeating those of them that
 	// have occurrences left to open.
 	live      []*job
--- a/pkg/sched/flow/gang.go
+++ b/pkg/sched/flow/gang.go
@@ -79,6 +79,10 @@
 	if q.Advised {
 		p.advised = append(p.advised, advisedStep{s, q})
 	}
+	if s.queued > p.m.freeRunsFor(s.occ.job) {
+		p.m.setBlocked(s, "too many runs")
+		return
+	}
 	if p.m.now.Sub(s.searchedAt) < gangSearchInterval {
 		p.reserveForGang(s, q)
 		return
--- a/pkg/sched/flow/options.go
+++ b/pkg/sched/flow/options.go
@@ -40,8 +40,10 @@
 	maxMiss, throttleTime, gangWait time.Duration
 	remoteFactor                    float64
 	retention                       time.Duration
-	resumeTime                      time.Duration
-	cancelTime, drainTime           time.Duration
+	// maxRuns bounds the runs; 0: there is no bound.
+	maxRuns               int
+	resumeTime            time.Duration
+	cancelTime, drainTime time.Duration
 	// evacuateTime is 0 if data centres are not evacuated.
 	evacuateTime time.Duration
 	wallMillis   func(time.Time) int64
@@ -91,6 +93,11 @@
 // WithRetention sets how long finished jobs are kept (default 10 min).
 func WithRetention(d time.Duration) Option { return func(o *options) { o.retention = d } }
 
+// WithMaxRuns bounds the runs of all workers together, because callers may submit tasks
+// that need next to nothing of a worker (default 0: no bound). Large jobs leave a
+// quarter of it to others. A gang with more members never starts.
+func WithMaxRuns(n int) Option { return func(o *options) { o.maxRuns = n } }
+
 // WithResumeTime sets how long a run takes to resume from a checkpoint (default
 // 600 ms).
 func WithResumeTime(d time.Duration) Option { return func(o *options) { o.resumeTime = d } }
--- a/pkg/sched/flow/run.go
+++ b/pkg/sched/flow/run.go
@@ -103,6 +103,7 @@
 		s.broken = 0 // This run was not stopped with the others.
 	}
 	t, w := r.task, r.worker
+	m.runs++
 	t.runs = append(t.runs, r)
 	w.runs[r.id()] = r
 	w.list = append(w.list, r)
@@ -117,6 +118,7 @@
 // detach removes a run that has certainly ended.
 func (m *Machine) detach(r *run) {
 	t, w := r.task, r.worker
+	m.runs--
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
 	delete(w.runs, r.id())
 	w.list = slices.DeleteFunc(w.list, func(o *run) bool { return o == r })
--- a/pkg/sched/flow/schedule.go
+++ b/pkg/sched/flow/schedule.go
@@ -20,11 +20,11 @@
 
 // schedule places waiting tasks, the most urgent first.
 func (m *Machine) schedule() {
-	if !m.stale || !m.loaded || !m.mayStart() || m.now.Before(m.nextPass) || m.window.free() == 0 {
+	if !m.stale || !m.loaded || !m.mayStart() || m.now.Before(m.nextPass) || m.window.free() == 0 || m.freeRuns() == 0 {
 		return
 	}
 	m.stale, m.ratings = false, 0
-	p := pass{m: m, unmet: map[unmetRequest]sched.Resources{}, maxStarts: min(maxStartsPerPass, m.window.free())}
+	p := pass{m: m, unmet: map[unmetRequest]sched.Resources{}, maxStarts: min(maxStartsPerPass, m.window.free(), m.freeRuns())}
 	stop := m.timed(&m.effort.Pass)
 	defer func() {
 		stop()
@@ -255,6 +255,10 @@
 			}
 			return
 		}
+		if p.m.freeRunsFor(t.job()) == 0 {
+			p.m.setBlocked(s, "too many runs")
+			return
+		}
 		if !p.m.leavesHeadroom(t, q, p.perpetualCPU) {
 			p.m.setBlocked(s, "capacity is left to short tasks")
 			return
