--- /dev/null
+++ b/review/standin3/crowded.go
@@ -0,0 +1,64 @@
+//go:build review
+
+package main
+
+import "time"
+
+// crowded loses the worker of a task that fills, while the other workers that may run it
+// are nearly full of tasks that last.
+func crowded(w *world, trouble bool) int {
+	const prefix = "/lohu930/"
+	w.configure(10, queue{Name: "r-1", Prefix: prefix}, queue{Name: "r-2", Prefix: "/watch7/"})
+	if w.build(12, 4, 3) != nil || !w.startAll() {
+		return unable
+	}
+	time.Sleep(4 * time.Second)
+	lasting := &job{id: newID(1), spec: "(lasting)", steps: []step{
+		{Count: 3, CPU: 30000, Memory: 8192, Lasts: true, Requires: "b", AntiAffinity: 1},
+	}}
+	if !w.submit("/watch7/", lasting, 0, 4) || !await(20*time.Second, func() bool { return w.running(lasting.id) == 3 }) {
+		return unable
+	}
+	fills := &job{id: newID(2), spec: "(fills)", steps: []step{
+		{Count: 1, CPU: 3500, Memory: 6400, Estimate: 12000, Fills: true, Requires: "b", Takes: 12 * time.Second},
+	}}
+	if !w.submit(prefix, fills, 1, 4) || !await(20*time.Second, func() bool { return w.running(fills.id) == 1 }) {
+		return unable
+	}
+	time.Sleep(time.Second)
+	if trouble {
+		w.holder(fills.id).lose()
+	}
+	began := time.Now()
+	last := began
+	for time.Since(began) < 50*time.Second {
+		time.Sleep(50 * time.Millisecond)
+		if w.done(fills) {
+			w.logf("all tasks of job %s have ended done", fills.id)
+			return held
+		}
+		if w.running(fills.id) > 0 {
+			last = time.Now()
+		}
+	}
+	w.logf("LOST: job %s was accepted, nobody has cancelled it, and it has had nothing running for %.1f s", fills.id, time.Since(last).Seconds())
+	w.logf("its step's processors are not counted; 3 workers of kind b are up with over 100 GB of free memory each; %.1f%% of the processors are in use",
+		100*w.inUse())
+	w.state(prefix, fills.id, 0)
+	return broken
+}
+
+// holder returns the worker that runs a task of a job.
+func (w *world) holder(id string) *worker {
+	for _, x := range w.workers {
+		x.mu.Lock()
+		for t := range x.runs {
+			if t[:16] == id {
+				x.mu.Unlock()
+				return x
+			}
+		}
+		x.mu.Unlock()
+	}
+	return nil
+}
--- /dev/null
+++ b/review/standin3/world.go
@@ -0,0 +1,387 @@
+//go:build review
+
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// step is a step of a job as a client submits it.
+type step struct {
+	Count    int   `json:"count"`
+	CPU      int64 `json:"cpu"`
+	Memory   int64 `json:"mem-mb"`
+	Estimate int64 `json:"estimate-ms,omitempty"`
+	After    []int `json:"after,omitempty"`
+	Lasts    bool  `json:"perpetual,omitempty"`
+	Fills    bool  `json:"fills,omitempty"`
+	// Requires is a label, and AntiAffinity how many tasks may run on one worker.
+	Requires     string `json:"requires,omitempty"`
+	AntiAffinity int    `json:"anti-affinity,omitempty"`
+	// Takes is what a task really takes. Clients do not send it.
+	Takes time.Duration `json:"-"`
+}
+
+// job is a job that a client submitted.
+type job struct {
+	id    string
+	spec  string
+	steps []step
+}
+
+// note is a line of the record of what workers did.
+type note struct {
+	at     time.Time
+	worker string
+	what   string
+	task   string
+	run    uint64
+	how    string
+}
+
+// world holds the stand-ins and the processes of a case.
+type world struct {
+	store   *store
+	service string
+	host    string
+	dir     string
+	program string
+	began   time.Time
+	record  io.Writer
+
+	mu      sync.Mutex
+	jobs    map[string]*job
+	notes   []note
+	workers []*worker
+	entries []*entry
+}
+
+func (w *world) logf(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.line(format, args...)
+}
+
+func (w *world) line(format string, args ...any) {
+	fmt.Fprintf(w.record, "%8.3f  %s\n", time.Since(w.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// note records what a worker did.
+func (w *world) note(worker, what, task string, number uint64, how string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.notes = append(w.notes, note{time.Now(), worker, what, task, number, how})
+	w.line("worker %s: %s %s run %d %s", worker, what, task, number, how)
+}
+
+// task returns what a task needs and how long it takes, and whether a client sent it.
+func (w *world) task(name, spec string) (need int64, takes time.Duration, known bool) {
+	parts := strings.Split(name, ".")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	j := w.jobs[parts[0]]
+	if j == nil || len(parts) != 4 || spec != j.spec {
+		w.line("UNASKED start of %s", name)
+		return 0, 0, false
+	}
+	n, err := strconv.Atoi(parts[2])
+	if err != nil || n >= len(j.steps) {
+		return 0, 0, false
+	}
+	s := j.steps[n]
+	if s.Lasts {
+		return s.CPU, 0, true
+	}
+	if s.Fills {
+		return 0, s.Takes, true // It is not counted against the capacity.
+	}
+	return s.CPU, s.Takes, true
+}
+
+// running returns how many tasks of a job run.
+func (w *world) running(id string) int {
+	n := 0
+	for _, x := range w.workers {
+		x.mu.Lock()
+		x.advance()
+		for t := range x.runs {
+			if strings.HasPrefix(t, id+".") {
+				n++
+			}
+		}
+		x.mu.Unlock()
+	}
+	return n
+}
+
+// inUse returns the share of the processors that tasks hold on the workers that are up.
+func (w *world) inUse() float64 {
+	used, all := int64(0), int64(0)
+	for _, x := range w.workers {
+		x.mu.Lock()
+		if !x.gone {
+			used, all = used+x.used, all+workerCPU
+		}
+		x.mu.Unlock()
+	}
+	return float64(used) / float64(all)
+}
+
+// entry is a process of the system.
+type entry struct {
+	w     *world
+	name  string
+	front string
+	file  string
+	ports [4]int
+	cmd   *exec.Cmd
+	done  chan struct{}
+	log   *os.File
+}
+
+// freePorts returns free ports on the loopback interface.
+func freePorts() (out [4]int, err error) {
+	var ls []net.Listener
+	for i := range out {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return out, err
+		}
+		ls = append(ls, l)
+		out[i] = l.Addr().(*net.TCPAddr).Port
+	}
+	for _, l := range ls {
+		_ = l.Close()
+	}
+	return out, nil
+}
+
+// settings returns the settings file of an entry, as for a small deployment.
+func (e *entry) settings(store string) []byte {
+	return fmt.Appendf(nil, `node=%s
+role=entry
+machine-class=front
+serves=front
+ip=127.0.0.1
+zone=z1
+region=r1
+zones.z1=r1
+listen.front=127.0.0.1:%d
+listen.ready=127.0.0.1:%d
+internal-ports=%d,%d
+bootstrap=true
+limits.cpu-share=0.16
+limits.cores=1
+limits.memory-mb=284
+limits.max-fds=4100
+heartbeat-ms=1500
+bounds.stable-window-ms=3000
+bounds.ack-ms=4000
+bounds.drain-ms=2000
+bounds.grace-s=6
+bounds.config-apply-ms=2000
+bounds.recovery-s=12
+bounds.hold-max-ms=6000
+bounds.stop-ms=400
+bounds.gang-ms=3000
+bounds.cancel_ms=3000
+bounds.visible_ms=3000
+bounds.finish_s=14
+bounds.status_s=120
+bounds.far-factor=3
+bounds.restore-ms=600
+bounds.pace-ms=100
+bounds.harm-ms=4000
+orders=invocation
+platform.address=%s
+platform.form=kv
+platform.writes-per-s=400
+platform.reads-per-s=2000
+platform.history-s=20
+platform.value-bytes=1048576
+platform.ttl-min-ms=1000
+`, e.name, e.ports[0], e.ports[1], e.ports[2], e.ports[2], store)
+}
+
+// addEntry prepares an entry that reaches the store at an address.
+func (w *world) addEntry(name, store string) (*entry, error) {
+	e := &entry{w: w, name: name, file: filepath.Join(w.dir, name+".conf")}
+	var err error
+	if e.ports, err = freePorts(); err != nil {
+		return nil, err
+	}
+	e.front = fmt.Sprintf("http://127.0.0.1:%d", e.ports[0])
+	if e.log, err = os.Create(filepath.Join(w.dir, name+".log")); err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(e.file, e.settings(store), 0o600); err != nil {
+		return nil, err
+	}
+	w.entries = append(w.entries, e)
+	return e, nil
+}
+
+// start starts the process.
+func (e *entry) start() error {
+	e.cmd = exec.Command(e.w.program, "serve", "-metrics-port", strconv.Itoa(e.ports[3]))
+	e.cmd.Env = append(os.Environ(), "MANGOSLIP_NODE_FILE="+e.file)
+	e.cmd.Stdout, e.cmd.Stderr = e.log, e.log
+	if err := e.cmd.Start(); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	e.done = done
+	cmd := e.cmd
+	go func() {
+		_ = cmd.Wait()
+		close(done)
+	}()
+	e.w.logf("entry %s started, process %d", e.name, e.cmd.Process.Pid)
+	return nil
+}
+
+// signal sends a signal to the process.
+func (e *entry) signal(s syscall.Signal) {
+	e.w.logf("entry %s gets %s", e.name, s)
+	_ = e.cmd.Process.Signal(s)
+}
+
+// kill ends the process and waits for its end.
+func (e *entry) kill() {
+	e.signal(syscall.SIGKILL)
+	<-e.done
+}
+
+// alive reports whether the process runs.
+func (e *entry) alive() bool {
+	select {
+	case <-e.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// memory returns the resident memory of the process in bytes, without that of files.
+func (e *entry) memory() int64 {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", e.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	var size, resident, shared int64
+	_, _ = fmt.Sscan(string(b), &size, &resident, &shared)
+	return (resident - shared) * int64(os.Getpagesize())
+}
+
+// ready reports whether the entry says that it is ready.
+func (e *entry) ready() bool {
+	resp, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/-/readiness", e.ports[1]))
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+var client = &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// call sends a client's request and returns the status, 0 without an answer, and the body.
+func (w *world) call(e *entry, method, path string, body []byte) (int, string) {
+	req, err := http.NewRequest(method, e.front+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, err.Error()
+	}
+	req.Host = w.host
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("X-Request-Timeout-Ms", "3000")
+	status, text := 0, ""
+	resp, err := client.Do(req)
+	if err == nil {
+		b, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		status, text = resp.StatusCode, strings.TrimSpace(string(b))
+	} else {
+		text = err.Error()
+	}
+	w.logf("client: %s %s at %s -> %d %s", method, path, e.name, status, text)
+	return status, text
+}
+
+// submit hands a job in, at most tries times, each at the next entry. It returns whether it
+// was accepted.
+func (w *world) submit(prefix string, j *job, first, tries int) bool {
+	w.mu.Lock()
+	w.jobs[j.id] = j
+	w.mu.Unlock()
+	b, _ := json.Marshal(map[string]any{"spec": j.spec, "steps": j.steps})
+	for i := range tries {
+		status, _ := w.call(w.entries[(first+i)%len(w.entries)], http.MethodPost, prefix+j.id, b)
+		if status/100 == 2 {
+			return true
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	return false
+}
+
+// state asks for a job's state, and returns it or the status.
+func (w *world) state(prefix, id string, at int) string {
+	status, text := w.call(w.entries[at%len(w.entries)], http.MethodGet, prefix+id, nil)
+	var out struct {
+		State string `json:"state"`
+	}
+	if status == http.StatusOK && json.Unmarshal([]byte(text), &out) == nil {
+		return out.State
+	}
+	return strconv.Itoa(status)
+}
+
+// await calls f until it returns true, for at most d.
+func await(d time.Duration, f func() bool) bool {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if f() {
+			return true
+		}
+	}
+	return false
+}
+
+// queue is a route of the configuration.
+type queue struct {
+	Name        string  `json:"name"`
+	Host        string  `json:"host"`
+	Prefix      string  `json:"prefix"`
+	Service     string  `json:"service"`
+	Timeout     int     `json:"timeout-ms"`
+	Priority    int     `json:"priority"`
+	MaxAttempts int     `json:"max-attempts"`
+	Stretch     float64 `json:"stretch"`
+	Target      int     `json:"target-duration-ms"`
+}
+
+// configure writes a version of the configuration. The store's answer acknowledges it.
+func (w *world) configure(version int, queues ...queue) {
+	for i := range queues {
+		q := &queues[i]
+		q.Host, q.Service, q.Timeout, q.MaxAttempts, q.Stretch, q.Target = w.host, w.service, 3000, 3, 2, 1000
+	}
+	b, _ := json.Marshal(map[string]any{
+		"version": version, "routes": queues, "services": []map[string]any{{"name": w.service, "admission-check": true}},
+		"limits": map[string]any{"max-body-bytes": 262144},
+	})
+	w.store.put("op/config", b)
+	w.logf("operator: version %d with the routes %v is acknowledged", version, queues)
+}
