--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -29,9 +29,8 @@
 )
 
 var cases = map[string]func(w *world, trouble bool) int{
-	"aged":    aged,
-	"dropped": dropped,
-	"crowded": crowded,
+	"crowded":  crowded,
+	"shadowed": shadowed,
 }
 
 func main() {
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -41,8 +41,6 @@
 	minTTL       = time.Second
 	historyKept  = 20 * time.Second
 	maxWatchWait = 30 * time.Second
-	// firstRevision leaves room below it for what was written long ago.
-	firstRevision = 10_000_000
 )
 
 // store is a stand-in of the platform's metadata store.
@@ -82,7 +80,7 @@
 
 func newStore(writesPerSecond, readsPerSecond float64) *store {
 	return &store{
-		revision: firstRevision, dropped: firstRevision, items: map[string]item{}, leases: map[int64]*lease{}, changed: make(chan struct{}),
+		revision: 1, items: map[string]item{}, leases: map[int64]*lease{}, changed: make(chan struct{}),
 		counts: map[string]int{}, writes: budget{perSecond: writesPerSecond}, reads: budget{perSecond: readsPerSecond},
 	}
 }
@@ -105,27 +103,6 @@
 	s.wake()
 }
 
-// age adds keys that were written long ago: their revisions are below all present ones, and
-// nobody watches from before them.
-func (s *store) age(items []item) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for n, i := range items {
-		i.Revision, i.Created = uint64(n+1), uint64(n+1)
-		s.items[i.Key] = i
-		s.keys = append(s.keys, i.Key)
-	}
-	sort.Strings(s.keys)
-}
-
-// value returns the value of a key.
-func (s *store) value(key string) ([]byte, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	i, ok := s.items[key]
-	return i.Value, ok
-}
-
 func (s *store) set(key string, value []byte, l int64) {
 	i, ok := s.items[key]
 	if !ok {
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -30,6 +30,7 @@
 	Fills    bool  `json:"fills,omitempty"`
 	// Requires is a label, and AntiAffinity how many tasks may run on one worker.
 	Requires     string `json:"requires,omitempty"`
+	Image        string `json:"image,omitempty"`
 	AntiAffinity int    `json:"anti-affinity,omitempty"`
 	// Takes is what a task really takes. Clients do not send it.
 	Takes time.Duration `json:"-"`
@@ -275,17 +276,6 @@
 	}
 }
 
-// memory returns the resident memory of the process in bytes, without that of files.
-func (e *entry) memory() int64 {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", e.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	var size, resident, shared int64
-	_, _ = fmt.Sscan(string(b), &size, &resident, &shared)
-	return (resident - shared) * int64(os.Getpagesize())
-}
-
 // ready reports whether the entry says that it is ready.
 func (e *entry) ready() bool {
 	resp, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/-/readiness", e.ports[1]))
@@ -385,3 +375,20 @@
 	w.store.put("op/config", b)
 	w.logf("operator: version %d with the routes %v is acknowledged", version, queues)
 }
+
+// done reports whether all tasks of a job have ended done.
+func (w *world) done(j *job) bool {
+	tasks := map[string]bool{}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, n := range w.notes {
+		if n.how == "done" && n.task[:16] == j.id {
+			tasks[n.task] = true
+		}
+	}
+	want := 0
+	for _, s := range j.steps {
+		want += s.Count
+	}
+	return len(tasks) == want
+}
