--- a/review/standin3/crowded.go
+++ b/review/standin3/crowded.go
@@ -29,22 +29,15 @@
 	if trouble {
 		w.holder(fills.id).lose()
 	}
-	began := time.Now()
-	last := began
-	for time.Since(began) < 50*time.Second {
-		time.Sleep(50 * time.Millisecond)
-		if w.done(fills) {
-			w.logf("all tasks of job %s have ended done", fills.id)
-			return held
-		}
-		if w.running(fills.id) > 0 {
-			last = time.Now()
-		}
-	}
-	w.logf("LOST: job %s was accepted, nobody has cancelled it, and it has had nothing running for %.1f s", fills.id, time.Since(last).Seconds())
-	w.logf("its step's processors are not counted; 3 workers of kind b are up with over 100 GB of free memory each; %.1f%% of the processors are in use",
-		100*w.inUse())
+	lost, done := w.lost(fills)
 	w.state(prefix, fills.id, 0)
+	switch {
+	case done:
+		return held
+	case !lost:
+		return unable
+	}
+	w.logf("LOST")
 	return broken
 }
 
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -124,11 +124,12 @@
 // startAll starts all entries and waits until they are ready.
 func (w *world) startAll() bool {
 	for _, e := range w.entries {
-		if e.start() != nil {
+		if err := e.start(); err != nil {
+			w.logf("entry %s: %v", e.name, err)
 			return false
 		}
 	}
-	return await(15*time.Second, func() bool {
+	ready := await(15*time.Second, func() bool {
 		for _, e := range w.entries {
 			if !e.ready() {
 				return false
@@ -136,6 +137,8 @@
 		}
 		return true
 	})
+	w.logf("all entries are ready: %t", ready)
+	return ready
 }
 
 // newID returns the id of job n.
--- a/review/standin3/shadowed.go
+++ b/review/standin3/shadowed.go
@@ -35,21 +35,15 @@
 		return unable
 	}
 	burst.Wait()
-	began := time.Now()
-	last := began
-	for time.Since(began) < 40*time.Second {
-		time.Sleep(50 * time.Millisecond)
-		if w.done(small) {
-			w.logf("all tasks of job %s have ended done", small.id)
-			return held
-		}
-		if w.running(small.id) > 0 {
-			last = time.Now()
-		}
-	}
-	w.logf("LOST: job %s was accepted, nobody has cancelled it, and it has had nothing running for %.1f s", small.id, time.Since(last).Seconds())
-	w.logf("each of the 4 workers of kind b has 4 of 32 cores and over 90 GB of memory free; %.1f%% of the processors are in use", 100*w.inUse())
+	lost, done := w.lost(small)
 	w.state(prefix, small.id, 0)
+	switch {
+	case done:
+		return held
+	case !lost:
+		return unable
+	}
+	w.logf("LOST")
 	return broken
 }
 
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -24,7 +24,7 @@
 type run struct {
 	task     string
 	number   uint64
-	need     int64
+	need     need
 	began    time.Time
 	takes    time.Duration // 0: it lasts
 	stopping time.Time
@@ -57,12 +57,16 @@
 	closed   map[string]uint64
 	ends     []end
 	lastEnd  uint64
-	used     int64
+	used     need
 	changed  chan struct{}
 	seq      int64
 }
 
-const workerCPU = 32000
+// The capacity of a worker, in thousandths of a core and MB.
+const (
+	workerCPU    = 32000
+	workerMemory = 128000
+)
 
 func newWorker(w *world, n int, kind string) (*worker, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -92,7 +96,7 @@
 		x.seq++
 		b, _ := json.Marshal(map[string]any{
 			"service": x.world.service, "address": x.addr, "zone": "z1", "version": "v1", "slots": 8, "state": "ready",
-			"cold-left-ms": 0, "capacity": map[string]int64{"cpu": workerCPU, "mem-mb": 128000, "gpu": 0},
+			"cold-left-ms": 0, "capacity": map[string]int64{"cpu": workerCPU, "mem-mb": workerMemory, "gpu": 0},
 			"labels": []string{x.kind, x.rack}, "clock-ms": x.clock().Milliseconds(), "seq": x.seq, "born": x.born,
 		})
 		x.mu.Unlock()
@@ -108,7 +112,7 @@
 	for _, r := range x.runs {
 		x.world.note(x.id, "gone with", r.task, r.number, "")
 	}
-	x.runs, x.used = map[string]*run{}, 0
+	x.runs, x.used = map[string]*run{}, need{}
 	x.mu.Unlock()
 	x.world.logf("worker %s is lost for good", x.id)
 	_ = x.server.Close()
@@ -146,7 +150,8 @@
 
 func (x *worker) finish(r *run, how string) {
 	delete(x.runs, r.task)
-	x.used -= r.need
+	x.used.cpu -= r.need.cpu
+	x.used.memory -= r.need.memory
 	x.closed[r.task] = max(x.closed[r.task], r.number)
 	x.lastEnd++
 	x.ends = append(x.ends, end{n: x.lastEnd, run: r, how: how})
@@ -210,13 +215,14 @@
 			refuse("old")
 			return
 		default:
-			need, takes, known := x.world.task(in.Task, in.Spec)
-			if !known || x.used+need > workerCPU {
+			want, takes, known := x.world.task(in.Task, in.Spec)
+			if !known || x.used.cpu+want.cpu > workerCPU || x.used.memory+want.memory > workerMemory {
 				refuse("room")
 				return
 			}
-			x.used += need
-			x.runs[in.Task] = &run{task: in.Task, number: in.Run, need: need, began: time.Now(), takes: takes}
+			x.used.cpu += want.cpu
+			x.used.memory += want.memory
+			x.runs[in.Task] = &run{task: in.Task, number: in.Run, need: want, began: time.Now(), takes: takes}
 			x.world.note(x.id, "start", in.Task, in.Run, "")
 		}
 	case "run-stop":
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -88,28 +89,37 @@
 	w.line("worker %s: %s %s run %d %s", worker, what, task, number, how)
 }
 
+// need is what a task takes from a worker's capacity: thousandths of a core, and MB.
+type need struct{ cpu, memory int64 }
+
+// need returns what a task of the step takes. The processors of a step that fills are not
+// counted.
+func (s *step) need() need {
+	if s.Fills {
+		return need{0, s.Memory}
+	}
+	return need{s.CPU, s.Memory}
+}
+
 // task returns what a task needs and how long it takes, and whether a client sent it.
-func (w *world) task(name, spec string) (need int64, takes time.Duration, known bool) {
+func (w *world) task(name, spec string) (n need, takes time.Duration, known bool) {
 	parts := strings.Split(name, ".")
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	j := w.jobs[parts[0]]
 	if j == nil || len(parts) != 4 || spec != j.spec {
 		w.line("UNASKED start of %s", name)
-		return 0, 0, false
+		return need{}, 0, false
 	}
-	n, err := strconv.Atoi(parts[2])
-	if err != nil || n >= len(j.steps) {
-		return 0, 0, false
+	i, err := strconv.Atoi(parts[2])
+	if err != nil || i >= len(j.steps) {
+		return need{}, 0, false
 	}
-	s := j.steps[n]
+	s := &j.steps[i]
 	if s.Lasts {
-		return s.CPU, 0, true
-	}
-	if s.Fills {
-		return 0, s.Takes, true // It is not counted against the capacity.
+		return s.need(), 0, true
 	}
-	return s.CPU, s.Takes, true
+	return s.need(), s.Takes, true
 }
 
 // running returns how many tasks of a job run.
@@ -134,13 +144,69 @@
 	for _, x := range w.workers {
 		x.mu.Lock()
 		if !x.gone {
-			used, all = used+x.used, all+workerCPU
+			used, all = used+x.used.cpu, all+workerCPU
 		}
 		x.mu.Unlock()
 	}
 	return float64(used) / float64(all)
 }
 
+// room returns for how many tasks of a step there is capacity on the workers that are up and
+// have its label.
+func (w *world) room(s *step) int {
+	n := 0
+	for _, x := range w.workers {
+		x.mu.Lock()
+		free := need{workerCPU - x.used.cpu, workerMemory - x.used.memory}
+		if x.gone || s.Requires != "" && s.Requires != x.kind {
+			free = need{-1, -1}
+		}
+		x.mu.Unlock()
+		for want := s.need(); want.cpu <= free.cpu && want.memory <= free.memory && n < maxRoom; n++ {
+			free.cpu, free.memory = free.cpu-want.cpu, free.memory-want.memory
+		}
+	}
+	return n
+}
+
+// maxRoom bounds what room counts.
+const maxRoom = 1000
+
+const (
+	// finishTime is when jobs are asked for after the end of the traffic, and idleTime how
+	// long a job may have nothing running then.
+	finishTime = 14 * time.Second
+	idleTime   = 3 * time.Second
+	// watchTime is how long a job is watched after the end of the traffic.
+	watchTime = 40 * time.Second
+)
+
+// lost watches a job of one step after the end of the traffic. It reports whether the job
+// has had nothing running for idleTime later than finishTime, while there was capacity for
+// it twice over and under half of the service's capacity in use; done means that the job
+// is done.
+func (w *world) lost(j *job) (lost, done bool) {
+	s := &j.steps[0]
+	began := time.Now()
+	idle := began
+	for time.Since(began) < watchTime {
+		time.Sleep(50 * time.Millisecond)
+		if w.done(j) {
+			w.logf("all tasks of job %s have ended done", j.id)
+			return false, true
+		}
+		if w.running(j.id) > 0 || w.room(s) < 2*s.Count || w.inUse() >= 0.5 {
+			idle = time.Now()
+		}
+		if time.Since(began) > finishTime+idleTime && time.Since(idle) > idleTime {
+			lost = true
+		}
+	}
+	w.logf("job %s was accepted and nobody has cancelled it: for %.1f s it has had nothing running, with capacity for %d of its tasks and %.1f%% of the processors in use",
+		j.id, time.Since(idle).Seconds(), w.room(s), 100*w.inUse())
+	return lost, false
+}
+
 // entry is a process of the system.
 type entry struct {
 	w     *world
@@ -153,21 +219,25 @@
 	log   *os.File
 }
 
+// The ports of the entries. They lie below those that the kernel gives to other sockets.
+const (
+	firstPort = 15000
+	lastPort  = 30000
+)
+
 // freePorts returns free ports on the loopback interface.
 func freePorts() (out [4]int, err error) {
-	var ls []net.Listener
 	for i := range out {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return out, err
+		for range 100 {
+			out[i] = firstPort + rand.IntN(lastPort-firstPort)
+			var l net.Listener
+			if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", out[i])); err == nil {
+				_ = l.Close()
+				break
+			}
 		}
-		ls = append(ls, l)
-		out[i] = l.Addr().(*net.TCPAddr).Port
-	}
-	for _, l := range ls {
-		_ = l.Close()
 	}
-	return out, nil
+	return out, err
 }
 
 // settings returns the settings file of an entry, as for a small deployment.
