--- a/review/standin3/crowded.go
+++ b/review/standin3/crowded.go
@@ -2,7 +2,10 @@
 
 package main
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
 
 // crowded loses the worker of a task that fills, while the other workers that may run it
 // are nearly full of tasks that last.
@@ -16,13 +19,13 @@
 	lasting := &job{id: newID(1), spec: "(lasting)", steps: []step{
 		{Count: 3, CPU: 30000, Memory: 8192, Lasts: true, Requires: "b", AntiAffinity: 1},
 	}}
-	if !w.submit("/watch7/", lasting, 0, 4) || !await(20*time.Second, func() bool { return w.running(lasting.id) == 3 }) {
+	if !w.submit("/watch7/", lasting, 0) || !await(20*time.Second, func() bool { return w.running(lasting.id) == 3 }) {
 		return unable
 	}
 	fills := &job{id: newID(2), spec: "(fills)", steps: []step{
 		{Count: 1, CPU: 3500, Memory: 6400, Estimate: 12000, Fills: true, Requires: "b", Takes: 12 * time.Second},
 	}}
-	if !w.submit(prefix, fills, 1, 4) || !await(20*time.Second, func() bool { return w.running(fills.id) == 1 }) {
+	if !w.submit(prefix, fills, 1) || !await(20*time.Second, func() bool { return w.running(fills.id) == 1 }) {
 		return unable
 	}
 	time.Sleep(time.Second)
@@ -30,7 +33,7 @@
 		w.holder(fills.id).lose()
 	}
 	lost, done := w.lost(fills)
-	w.state(prefix, fills.id, 0)
+	w.call(w.entries[0], http.MethodGet, prefix+fills.id, nil)
 	switch {
 	case done:
 		return held
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -53,14 +53,14 @@
 		fmt.Println(err)
 		return unable
 	}
-	defer out.Close()
+	defer func() { _ = out.Close() }()
 	dir, err := os.MkdirTemp("", "standin3-")
 	if err != nil {
 		fmt.Println(err)
 		return unable
 	}
 	if os.Getenv("KEEP") == "" {
-		defer os.RemoveAll(dir)
+		defer func() { _ = os.RemoveAll(dir) }()
 	} else {
 		fmt.Println(dir)
 	}
--- a/review/standin3/shadowed.go
+++ b/review/standin3/shadowed.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"net/http"
 	"sync"
 	"time"
 )
@@ -19,7 +20,7 @@
 	lasting := &job{id: newID(1), spec: "(lasting)", steps: []step{
 		{Count: 16, CPU: 7000, Memory: 8192, Lasts: true, Requires: "b", AntiAffinity: 4},
 	}}
-	if !w.submit("/watch7/", lasting, 0, 4) || !await(25*time.Second, func() bool { return w.running(lasting.id) == 16 }) {
+	if !w.submit("/watch7/", lasting, 0) || !await(25*time.Second, func() bool { return w.running(lasting.id) == 16 }) {
 		return unable
 	}
 	time.Sleep(time.Second)
@@ -31,12 +32,12 @@
 	small := &job{id: newID(2), spec: "(small)", steps: []step{
 		{Count: 1, CPU: 3500, Memory: 6400, Estimate: 3000, Fills: true, Requires: "b", Image: "img-1", Takes: 3 * time.Second},
 	}}
-	if !w.submit(prefix, small, 1, 4) {
+	if !w.submit(prefix, small, 1) {
 		return unable
 	}
 	burst.Wait()
 	lost, done := w.lost(small)
-	w.state(prefix, small.id, 0)
+	w.call(w.entries[0], http.MethodGet, prefix+small.id, nil)
 	switch {
 	case done:
 		return held
@@ -53,7 +54,7 @@
 		j := &job{id: newID(100 + i), spec: "(large)", steps: []step{
 			{Count: 1, CPU: 7000, Memory: 5000, Estimate: 1000, Fills: true, Requires: "b", Image: "img-1", Takes: time.Second},
 		}}
-		go w.submit(prefix, j, i, 4)
+		go w.submit(prefix, j, i)
 		time.Sleep(gap)
 	}
 }
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -160,22 +160,25 @@
 	x.changed = make(chan struct{})
 }
 
+// order is the body of any order.
+type order struct {
+	Task     string  `json:"task"`
+	Run      uint64  `json:"run"`
+	Spec     string  `json:"spec"`
+	Deadline *int64  `json:"deadline-ms"`
+	Fence    uint64  `json:"fence"`
+	LastSeen uint64  `json:"last-seen"`
+	Wait     int64   `json:"wait-ms"`
+	Percent  float64 `json:"percent"`
+}
+
 // ServeHTTP implements http.Handler.
 func (x *worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
 		reply(w, http.StatusOK, nil)
 		return
 	}
-	var in struct {
-		Task     string  `json:"task"`
-		Run      uint64  `json:"run"`
-		Spec     string  `json:"spec"`
-		Deadline *int64  `json:"deadline-ms"`
-		Fence    uint64  `json:"fence"`
-		LastSeen uint64  `json:"last-seen"`
-		Wait     int64   `json:"wait-ms"`
-		Percent  float64 `json:"percent"`
-	}
+	var in order
 	if json.NewDecoder(r.Body).Decode(&in) != nil {
 		reply(w, http.StatusBadRequest, nil)
 		return
@@ -188,51 +191,24 @@
 	defer x.mu.Unlock()
 	x.advance()
 	body := map[string]any{"clock-ms": x.clock().Milliseconds(), "born": x.born}
-	refuse := func(reason string) {
-		body["reason"] = reason
-		reply(w, http.StatusConflict, body)
-	}
 	if in.Fence < x.fence {
-		refuse("fence")
+		body["reason"] = "fence"
+		reply(w, http.StatusConflict, body)
 		return
 	}
 	x.fence = in.Fence
-	extend := func() {
-		if in.Deadline != nil {
-			x.deadline = max(x.deadline, min(time.Duration(*in.Deadline)*time.Millisecond, x.clock()+maxHold))
-		}
-	}
 	switch strings.TrimPrefix(r.URL.Path, "/-/") {
 	case "run-start":
-		if in.Deadline == nil || time.Duration(*in.Deadline)*time.Millisecond <= x.clock() {
-			refuse("late")
+		if reason := x.start(&in); reason != "" {
+			body["reason"] = reason
+			reply(w, http.StatusConflict, body)
 			return
 		}
-		extend()
-		switch old := x.runs[in.Task]; {
-		case old != nil && old.number == in.Run:
-		case old != nil, in.Run <= x.closed[in.Task]:
-			refuse("old")
-			return
-		default:
-			want, takes, known := x.world.task(in.Task, in.Spec)
-			if !known || x.used.cpu+want.cpu > workerCPU || x.used.memory+want.memory > workerMemory {
-				refuse("room")
-				return
-			}
-			x.used.cpu += want.cpu
-			x.used.memory += want.memory
-			x.runs[in.Task] = &run{task: in.Task, number: in.Run, need: want, began: time.Now(), takes: takes}
-			x.world.note(x.id, "start", in.Task, in.Run, "")
-		}
 	case "run-stop":
-		x.closed[in.Task] = max(x.closed[in.Task], in.Run)
-		if old := x.runs[in.Task]; old != nil && old.number <= in.Run && old.stopping.IsZero() {
-			old.stopping = time.Now().Add(stopTime)
-		}
+		x.stop(&in)
 	case "pace":
 	case "hold":
-		extend()
+		x.extend(&in)
 		x.hold(w, r, in.LastSeen, min(time.Duration(in.Wait)*time.Millisecond, maxHoldWait), body)
 		return
 	default:
@@ -242,6 +218,45 @@
 	reply(w, http.StatusOK, body)
 }
 
+// extend extends the lease of all runs.
+func (x *worker) extend(in *order) {
+	if in.Deadline != nil {
+		x.deadline = max(x.deadline, min(time.Duration(*in.Deadline)*time.Millisecond, x.clock()+maxHold))
+	}
+}
+
+// start carries out a start, or returns the reason of a refusal.
+func (x *worker) start(in *order) string {
+	if in.Deadline == nil || time.Duration(*in.Deadline)*time.Millisecond <= x.clock() {
+		return "late"
+	}
+	x.extend(in)
+	old := x.runs[in.Task]
+	switch {
+	case old != nil && old.number == in.Run:
+		return ""
+	case old != nil, in.Run <= x.closed[in.Task]:
+		return "old"
+	}
+	want, takes, known := x.world.task(in.Task, in.Spec)
+	if !known || x.used.cpu+want.cpu > workerCPU || x.used.memory+want.memory > workerMemory {
+		return "room"
+	}
+	x.used.cpu += want.cpu
+	x.used.memory += want.memory
+	x.runs[in.Task] = &run{task: in.Task, number: in.Run, need: want, began: time.Now(), takes: takes}
+	x.world.note(x.id, "start", in.Task, in.Run, "")
+	return ""
+}
+
+// stop carries out a stop. It takes a while.
+func (x *worker) stop(in *order) {
+	x.closed[in.Task] = max(x.closed[in.Task], in.Run)
+	if old := x.runs[in.Task]; old != nil && old.number <= in.Run && old.stopping.IsZero() {
+		old.stopping = time.Now().Add(stopTime)
+	}
+}
+
 // hold answers a renewal. It waits for an end.
 func (x *worker) hold(w http.ResponseWriter, r *http.Request, seen uint64, wait time.Duration, body map[string]any) {
 	for len(x.ends) > 0 && x.ends[0].n <= seen {
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -358,11 +358,12 @@
 
 var client = &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
-// call sends a client's request and returns the status, 0 without an answer, and the body.
-func (w *world) call(e *entry, method, path string, body []byte) (int, string) {
+// call sends a client's request and returns the status, 0 without an answer.
+func (w *world) call(e *entry, method, path string, body []byte) int {
 	req, err := http.NewRequest(method, e.front+path, bytes.NewReader(body))
 	if err != nil {
-		return 0, err.Error()
+		w.logf("client: %v", err)
+		return 0
 	}
 	req.Host = w.host
 	req.Header.Set("Content-Type", "application/json")
@@ -377,18 +378,23 @@
 		text = err.Error()
 	}
 	w.logf("client: %s %s at %s -> %d %s", method, path, e.name, status, text)
-	return status, text
+	return status
 }
 
-// submit hands a job in, at most tries times, each at the next entry. It returns whether it
-// was accepted.
-func (w *world) submit(prefix string, j *job, first, tries int) bool {
+// submitTries is how often a job is handed in, each time at the next entry.
+const submitTries = 4
+
+// submit hands a job in until it is accepted, and reports whether it was.
+func (w *world) submit(prefix string, j *job, first int) bool {
 	w.mu.Lock()
 	w.jobs[j.id] = j
 	w.mu.Unlock()
-	b, _ := json.Marshal(map[string]any{"spec": j.spec, "steps": j.steps})
-	for i := range tries {
-		status, _ := w.call(w.entries[(first+i)%len(w.entries)], http.MethodPost, prefix+j.id, b)
+	b, err := json.Marshal(map[string]any{"spec": j.spec, "steps": j.steps})
+	if err != nil {
+		return false
+	}
+	for i := range submitTries {
+		status := w.call(w.entries[(first+i)%len(w.entries)], http.MethodPost, prefix+j.id, b)
 		if status/100 == 2 {
 			return true
 		}
@@ -397,18 +403,6 @@
 	return false
 }
 
-// state asks for a job's state, and returns it or the status.
-func (w *world) state(prefix, id string, at int) string {
-	status, text := w.call(w.entries[at%len(w.entries)], http.MethodGet, prefix+id, nil)
-	var out struct {
-		State string `json:"state"`
-	}
-	if status == http.StatusOK && json.Unmarshal([]byte(text), &out) == nil {
-		return out.State
-	}
-	return strconv.Itoa(status)
-}
-
 // await calls f until it returns true, for at most d.
 func await(d time.Duration, f func() bool) bool {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
