--- a/review/standin3/crowded.go
+++ b/review/standin3/crowded.go
@@ -17,9 +17,9 @@
 	}
 	time.Sleep(4 * time.Second)
 	lasting := &job{id: newID(1), spec: "(lasting)", steps: []step{
-		{Count: 3, CPU: 30000, Memory: 8192, Lasts: true, Requires: "b", AntiAffinity: 1},
+		{Count: 9, CPU: 10000, Memory: 8192, Lasts: true, Requires: "b", AntiAffinity: 3},
 	}}
-	if !w.submit("/watch7/", lasting, 0) || !await(20*time.Second, func() bool { return w.running(lasting.id) == 3 }) {
+	if !w.submit("/watch7/", lasting, 0) || !await(20*time.Second, func() bool { return w.running(lasting.id) == 9 }) {
 		return unable
 	}
 	fills := &job{id: newID(2), spec: "(fills)", steps: []step{
--- a/review/standin3/shadowed.go
+++ b/review/standin3/shadowed.go
@@ -17,11 +17,13 @@
 		return unable
 	}
 	time.Sleep(4 * time.Second)
-	lasting := &job{id: newID(1), spec: "(lasting)", steps: []step{
-		{Count: 16, CPU: 7000, Memory: 8192, Lasts: true, Requires: "b", AntiAffinity: 4},
-	}}
-	if !w.submit("/watch7/", lasting, 0) || !await(25*time.Second, func() bool { return w.running(lasting.id) == 16 }) {
-		return unable
+	for i := range 2 {
+		lasting := &job{id: newID(10 + i), spec: "(lasting)", steps: []step{
+			{Count: 8, CPU: 7000, Memory: 8192, Lasts: true, Requires: "b", AntiAffinity: 4},
+		}}
+		if !w.submit("/watch7/", lasting, 0) || !await(25*time.Second, func() bool { return w.running(lasting.id) == 8 }) {
+			return unable
+		}
 	}
 	time.Sleep(time.Second)
 	var burst sync.WaitGroup
